--- /dev/null
+++ b/cmd/toucanjobd/main.go
@@ -0,0 +1,84 @@
+// Command toucanjobd is the jobs daemon that runs on every entry VM of the platform.
+package main
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/urfave/cli/v3"
+
+	"github.com/toucanhatch/toucanhatch/internal/agent"
+	"github.com/toucanhatch/toucanhatch/internal/clock"
+	"github.com/toucanhatch/toucanhatch/internal/jobd"
+	"github.com/toucanhatch/toucanhatch/internal/work"
+	"github.com/toucanhatch/toucanhatch/platform"
+)
+
+// Exit codes.
+const (
+	exitFailed   = 1 // the daemon could not start or stopped on an error
+	exitSettings = 2 // the settings or the command line are wrong
+)
+
+func main() {
+	code := 0
+	cmd := &cli.Command{
+		Name:  "toucanjobd",
+		Usage: "take jobs in, run them on the pools' targets and keep the pools' capacity",
+		Description: "Settings are described in docs/settings.md. Logs go to standard output, one JSON object a line.\n\n" +
+			"SIGTERM hands the partitions over and stops gracefully. SIGHUP reads the settings again.\n\n" +
+			"Exit codes: 0 stopped gracefully; 1 failed; 2 wrong settings or arguments.",
+		Flags: []cli.Flag{
+			&cli.StringFlag{
+				Name: "settings", Usage: "TOML `FILE` with the settings of this process",
+				Sources: cli.EnvVars(jobd.SettingsVariable),
+			},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			settings, err := jobd.LoadSettings(c.String("settings"))
+			if err != nil {
+				code = exitSettings
+				return err
+			}
+			err = run(ctx, settings)
+			if err != nil {
+				code = exitFailed
+			}
+			return err
+		},
+	}
+	if err := cmd.Run(context.Background(), os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "toucanjobd:", err)
+		if code == 0 {
+			code = exitSettings
+		}
+	}
+	os.Exit(code)
+}
+
+func run(ctx context.Context, s *jobd.Settings) error {
+	logger := hclog.New(&hclog.LoggerOptions{Level: hclog.LevelFromString(s.LogLevel), JSONFormat: true, Output: os.Stdout})
+	ctx, cancel := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
+	defer cancel()
+	log := &platform.Log{Addr: s.Log.Address, Parts: s.Log.Parts, Counts: func(call, outcome string, took time.Duration) {
+		jobd.CountLogCall(call, outcome, took)
+	}}
+	log.Open()
+	p := &jobd.Platform{
+		Log: log, Operator: platform.Operator, Targets: platform.Targets, Status: platform.Status,
+		ConfigKey: platform.ConfigKey, DecodeConfig: platform.DecodeConfig, DecodeTarget: platform.DecodeTarget,
+		NewCaller: func(id work.TargetID, addr string) agent.Caller { return platform.NewTarget(id, addr) },
+		Clients:   func(s *jobd.Service) http.Handler { return &platform.Ingress{Jobs: s} },
+	}
+	if s.Advice != "" {
+		p.Adviser = platform.NewAdvice(s.Advice)
+	}
+	d := &jobd.Daemon{Settings: s, Platform: p, Logger: logger, Clock: clock.Suspending()}
+	return d.Run(ctx)
+}
--- /dev/null
+++ b/internal/admit/admit.go
@@ -0,0 +1,60 @@
+package admit
+
+import "time"
+
+// Load is what a pool has to do and what it can do.
+type Load struct {
+	Backlog  time.Duration // processor time of accepted work that has not been done, of one core
+	Capacity float64       // cores of the targets that may be given tasks
+	Jobs     int           // active jobs
+}
+
+// Demand is what a new job asks for.
+type Demand struct {
+	Work      time.Duration // processor time, of one core
+	Chain     time.Duration // its longest chain of tasks
+	Objective time.Duration // from acceptance to completion
+	Lasting   bool          // it runs until cancelled
+	Scheduled bool          // it starts later
+}
+
+// Verdict is the decision on one job.
+type Verdict struct {
+	Admit      bool
+	Reason     string
+	Wait       time.Duration // expected time until its work can begin
+	RetryAfter time.Duration // when to come back, if refused
+}
+
+const (
+	// maxLateness is how late a job may be expected to be done, as a multiple
+	// of its objective; up to three times the objective it still has some worth.
+	maxLateness = 3
+	// maxJobs bounds the memory of one pool's owner: some 4 KB a job.
+	maxJobs = 4000
+	// Clients come back within these bounds.
+	minRetry = time.Second
+	maxRetry = 5 * time.Second
+)
+
+// Decide admits or refuses one job.
+func Decide(l Load, d Demand) Verdict {
+	if l.Jobs >= maxJobs {
+		return Verdict{Reason: "too many active jobs", RetryAfter: maxRetry}
+	}
+	if d.Lasting || d.Scheduled {
+		return Verdict{Admit: true}
+	}
+	if l.Capacity <= 0 {
+		return Verdict{Admit: true, Reason: "no target is known yet"}
+	}
+	wait := time.Duration(float64(l.Backlog) / l.Capacity)
+	own := max(d.Chain, time.Duration(float64(d.Work)/l.Capacity))
+	if wait+own > maxLateness*d.Objective {
+		return Verdict{
+			Reason: "the work ahead takes too long", Wait: wait,
+			RetryAfter: min(max(wait+own-maxLateness*d.Objective, minRetry), maxRetry),
+		}
+	}
+	return Verdict{Admit: true, Wait: wait}
+}
--- /dev/null
+++ b/internal/agent/agent.go
@@ -0,0 +1,251 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/toucanhatch/toucanhatch/internal/clock"
+	"github.com/toucanhatch/toucanhatch/internal/jobs"
+	"github.com/toucanhatch/toucanhatch/internal/work"
+)
+
+// Timing of the requests to one target.
+const (
+	// busyWait is how long a target with tasks may hold back its list; it bounds how old the knowledge of progress is.
+	busyWait = time.Second
+	// idleWait is the longest wait that targets accept.
+	idleWait = 2 * time.Second
+	// holdMargin is added to the wait for the way there and back, and for a slow target.
+	holdMargin = 700 * time.Millisecond
+	// probeTimeout bounds requests to a target that did not answer before.
+	probeTimeout = 500 * time.Millisecond
+	// probePause is the time between two of them.
+	probePause = 200 * time.Millisecond
+	// OrderTimeout bounds a start, stop or pace; targets answer in some milliseconds.
+	OrderTimeout = 700 * time.Millisecond
+	// ackWait is how long the next request waits for ends to become durable.
+	ackWait = 400 * time.Millisecond
+	// ordersAtOnce is the number of orders in flight to one target.
+	ordersAtOnce = 4
+)
+
+// Sink receives what an agent learns. Its methods are called from the agent's goroutines.
+type Sink interface {
+	// Listed takes a list and returns up to which end the target may forget, and whether ends wait to become durable.
+	Listed(l work.List) (acked int64, pending bool)
+	// Unheard notes that the target did not answer.
+	Unheard(id work.TargetID)
+	// Lapsed notes that whatever the target ran has surely ended.
+	Lapsed(id work.TargetID)
+	// Started, Stopped and Paced take the answers to orders.
+	Started(o jobs.StartOrder, result jobs.StartResult)
+	Stopped(o jobs.StopOrder, acked bool)
+	Paced(o jobs.PaceOrder, acked bool)
+	// Fenced notes that the target has seen a later owner.
+	Fenced()
+	// Confirmed reports whether the ownership was confirmed recently enough to give orders.
+	Confirmed() bool
+}
+
+// Agent serves one target. Set its exported fields before Run.
+type Agent struct {
+	ID     work.TargetID
+	Caller Caller
+	Fence  work.Fence
+	Lease  time.Duration // given with each request
+	Sink   Sink
+	Clock  clock.Clock
+	Logger hclog.Logger
+	// Inherited is when the leases that a former owner gave have surely passed.
+	Inherited time.Time
+
+	mu      sync.Mutex
+	lease   lease
+	born    int64
+	lapsed  bool // Lapsed was reported and nothing was given since
+	acked   int64
+	ackWake chan struct{}
+	slots   chan struct{}
+}
+
+// New returns an agent for the target.
+func New(id work.TargetID) *Agent {
+	return &Agent{ID: id, ackWake: make(chan struct{}, 1), slots: make(chan struct{}, ordersAtOnce)}
+}
+
+// SetAcked allows the target to forget its ends up to seq.
+func (a *Agent) SetAcked(seq int64) {
+	a.mu.Lock()
+	changed := seq != a.acked
+	a.acked = seq
+	a.mu.Unlock()
+	if changed {
+		select {
+		case a.ackWake <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// Run keeps the target's lease and list until ctx is done.
+func (a *Agent) Run(ctx context.Context) {
+	defer a.Caller.Close()
+	answered, busy := false, true
+	for ctx.Err() == nil {
+		if !a.Sink.Confirmed() {
+			a.checkLapse()
+			_ = clock.Sleep(ctx, a.Clock, probePause) // the loop checks the context
+			continue
+		}
+		ok, nowBusy, pending := a.hold(ctx, answered, busy)
+		if ctx.Err() != nil {
+			return
+		}
+		if !ok {
+			if answered {
+				a.Logger.Info("target lost", "target", a.ID)
+			}
+			answered = false
+			a.Sink.Unheard(a.ID)
+			a.checkLapse()
+			_ = clock.Sleep(ctx, a.Clock, probePause) // the loop checks the context
+			continue
+		}
+		if !answered {
+			a.Logger.Info("target heard", "target", a.ID, "born", a.born)
+		}
+		answered, busy = true, nowBusy
+		if pending {
+			a.awaitAck(ctx)
+		}
+	}
+}
+
+// hold sends one request. It extends the lease only if the last one was answered.
+func (a *Agent) hold(ctx context.Context, answered, busy bool) (ok, nowBusy, pending bool) {
+	call := HoldCall{Fence: a.Fence}
+	timeout := probeTimeout
+	now := a.Clock.Now()
+	a.mu.Lock()
+	call.Acked = a.acked
+	if answered && a.lease.known() {
+		call.Deadline = a.lease.extend(now, a.Lease)
+		a.lapsed = false
+		call.Wait = idleWait
+		if busy {
+			call.Wait = busyWait
+		}
+		timeout = call.Wait + holdMargin
+	}
+	a.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	answer, err := a.Caller.Hold(ctx, call)
+	if errors.Is(err, ErrFenced) {
+		a.Sink.Fenced()
+	}
+	if err != nil {
+		a.Logger.Debug("list request failed", "target", a.ID, "error", err)
+		return false, false, false
+	}
+	a.mu.Lock()
+	if a.born != answer.List.Born {
+		a.lease.reset()
+		a.acked = 0
+	}
+	a.lease.heard(answer.Clock, a.Clock.Now())
+	if a.born != answer.List.Born {
+		a.born = answer.List.Born
+		a.lease.inherit(a.Lease)
+	}
+	a.mu.Unlock()
+	answer.List.Sent = now
+	acked, pending := a.Sink.Listed(answer.List)
+	a.mu.Lock()
+	a.acked = max(a.acked, acked)
+	a.mu.Unlock()
+	return true, len(answer.List.Running) > 0, pending
+}
+
+// awaitAck waits until ends may be acknowledged; until then the target would answer at once.
+func (a *Agent) awaitAck(ctx context.Context) {
+	wait, cancel := context.WithTimeout(ctx, ackWait)
+	defer cancel()
+	select {
+	case <-a.ackWake:
+	case <-wait.Done():
+	}
+}
+
+// checkLapse reports once that the lease of a silent target has passed.
+func (a *Agent) checkLapse() {
+	a.mu.Lock()
+	until := a.lease.lapsed()
+	if a.Inherited.After(until) && a.born == 0 {
+		until = a.Inherited
+	}
+	due := !a.lapsed && a.Clock.Now().After(until)
+	a.lapsed = a.lapsed || due
+	a.mu.Unlock()
+	if due {
+		a.Logger.Info("lease has passed", "target", a.ID)
+		a.Sink.Lapsed(a.ID)
+	}
+}
+
+// Send carries out an order in the background.
+func (a *Agent) Send(ctx context.Context, o jobs.Order) {
+	go func() {
+		select {
+		case a.slots <- struct{}{}:
+		case <-ctx.Done():
+			return
+		}
+		defer func() { <-a.slots }()
+		a.send(ctx, o)
+	}()
+}
+
+func (a *Agent) send(ctx context.Context, o jobs.Order) {
+	ctx, cancel := context.WithTimeout(ctx, OrderTimeout)
+	defer cancel()
+	confirmed := a.Sink.Confirmed()
+	switch o := o.(type) {
+	case jobs.StartOrder:
+		if !confirmed {
+			a.Sink.Started(o, jobs.StartLate) // not sent
+			return
+		}
+		a.mu.Lock()
+		deadline := a.lease.extend(a.Clock.Now(), a.Lease)
+		a.lapsed = false
+		a.mu.Unlock()
+		result, at := a.Caller.Start(ctx, StartCall{Order: o, Fence: a.Fence, Deadline: deadline})
+		a.mu.Lock()
+		a.lease.heard(at, a.Clock.Now())
+		a.mu.Unlock()
+		if result == jobs.StartFenced {
+			a.Sink.Fenced()
+		}
+		a.Sink.Started(o, result)
+	case jobs.StopOrder:
+		err := a.Caller.Stop(ctx, o, a.Fence)
+		if errors.Is(err, ErrFenced) {
+			a.Sink.Fenced()
+		}
+		if err != nil {
+			a.Logger.Debug("stop failed", "target", a.ID, "task", o.Task, "error", err)
+		}
+		a.Sink.Stopped(o, err == nil)
+	case jobs.PaceOrder:
+		err := a.Caller.Pace(ctx, o, a.Fence)
+		if err != nil {
+			a.Logger.Debug("pace failed", "target", a.ID, "task", o.Task, "error", err)
+		}
+		a.Sink.Paced(o, err == nil)
+	}
+}
--- /dev/null
+++ b/internal/jobd/daemon.go
@@ -0,0 +1,320 @@
+package jobd
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/toucanhatch/toucanhatch/internal/agent"
+	"github.com/toucanhatch/toucanhatch/internal/clock"
+	"github.com/toucanhatch/toucanhatch/internal/direct"
+	"github.com/toucanhatch/toucanhatch/internal/group"
+	"github.com/toucanhatch/toucanhatch/internal/jobs"
+	"github.com/toucanhatch/toucanhatch/internal/link"
+	"github.com/toucanhatch/toucanhatch/internal/plog"
+	"github.com/toucanhatch/toucanhatch/internal/route"
+	"github.com/toucanhatch/toucanhatch/internal/shard"
+	"github.com/toucanhatch/toucanhatch/internal/watch"
+	"github.com/toucanhatch/toucanhatch/internal/work"
+	"github.com/toucanhatch/toucanhatch/pkg/ident"
+)
+
+// Platform is what the daemon needs of its surroundings; platform/ provides it.
+type Platform struct {
+	Log plog.Log
+	// Operator and Targets are the partitions that operators and targets write, and
+	// Status the one that operators read.
+	Operator, Targets, Status plog.TopicPartition
+	ConfigKey                 string
+	DecodeConfig              func([]byte) (*work.Config, error)
+	DecodeTarget              func(string, []byte) (work.Registration, error)
+	NewCaller                 func(work.TargetID, string) agent.Caller
+	Adviser                   agent.Adviser // nil where there is none
+	// Clients makes the handler of clients' requests.
+	Clients func(*Service) http.Handler
+}
+
+const (
+	groupName = "toucanhatch"
+	// groupTTL is how long a partition stays with a killed owner; the platform allows no less than its min_ttl.
+	groupTTL = 1200 * time.Millisecond
+	// configWait is how long one read waits for a new configuration.
+	configWait = 2 * time.Second
+	// targetsPause bounds the reads of the registrations, of which some come in each tenth of a second.
+	targetsPause = 300 * time.Millisecond
+	// lameDuck is how long a stopping process still answers on open connections after it
+	// stopped being ready: the balancer looks once a second and acts on the second miss.
+	lameDuck = 2500 * time.Millisecond
+	// stopMargin is left of the grace for the end of the process.
+	stopMargin = 700 * time.Millisecond
+	// clientIdle ends idle connections of clients.
+	clientIdle    = 30 * time.Second
+	headerTimeout = 3 * time.Second
+	maxHeader     = 16 << 10
+	// heapPercent lets the heap grow by this share between collections; memory is dear on the entry VMs.
+	heapPercent = 60
+)
+
+// Daemon is one jobs daemon. Set its exported fields before Run.
+type Daemon struct {
+	Settings *Settings
+	Platform *Platform
+	Logger   hclog.Logger
+	Clock    clock.Clock
+
+	service  *Service
+	owners   *owners
+	member   *group.Member
+	direct   *direct.Directory
+	stopping atomic.Bool
+	ctx      context.Context
+}
+
+// Run serves until ctx is done, then hands its partitions over and stops gracefully.
+func (d *Daemon) Run(ctx context.Context) error {
+	debug.SetGCPercent(heapPercent)
+	if d.Settings.Memory > 0 {
+		debug.SetMemoryLimit(int64(d.Settings.Memory) / 2)
+	}
+	d.build()
+	client, ready, peer, err := d.listen(ctx)
+	if err != nil {
+		return err
+	}
+	// Requests in progress outlive the signal to stop.
+	running, end := context.WithCancel(context.WithoutCancel(ctx))
+	defer end()
+	d.ctx = running
+	var wg sync.WaitGroup
+	serveErr := make(chan error, 3)
+	links := &link.Server{Listener: peer, Handler: d.service.Handle}
+	wg.Go(func() { serveErr <- links.Run(running) })
+	clients := d.httpServer(d.Platform.Clients(d.service))
+	wg.Go(func() { serveErr <- serve(clients, client) })
+	checks := d.httpServer(http.HandlerFunc(d.readiness))
+	wg.Go(func() { serveErr <- serve(checks, ready) })
+	if d.Settings.Metrics != "" {
+		wg.Go(func() { d.serveMetrics(running) })
+	}
+	wg.Go(func() { d.watchConfig().Run(running) })
+	wg.Go(func() { d.watchTargets().Run(running) })
+	wg.Go(func() { d.owners.Run(running) })
+	membership, leave := context.WithCancel(running)
+	var left sync.WaitGroup
+	left.Go(func() { d.member.Run(membership) })
+	d.Logger.Info("start", "entry", d.Settings.Entry, "zone", d.Settings.Zone, "client", d.Settings.Client, "peer", d.Settings.Peer, "member", d.member.ID)
+
+	select {
+	case <-ctx.Done():
+	case err = <-serveErr:
+		d.Logger.Error("a listener failed", "error", err)
+	}
+	begin := d.Clock.Now()
+	d.Logger.Info("stopping")
+	d.stopping.Store(true)
+	clients.SetKeepAlivesEnabled(false)
+	leave()
+	left.Wait()
+	d.hintOthers(running)
+	d.Logger.Info("handed over", "took", d.Clock.Now().Sub(begin))
+	_ = clock.Sleep(running, d.Clock, lameDuck-d.Clock.Now().Sub(begin)) // the context has no end yet
+	rest := d.Settings.Grace.Duration - stopMargin - d.Clock.Now().Sub(begin)
+	shut, cancel := context.WithTimeout(running, max(rest, 0))
+	defer cancel()
+	if err := clients.Shutdown(shut); err != nil {
+		d.Logger.Warn("requests were still in progress at the end", "error", err)
+	}
+	_ = checks.Close()
+	end()
+	wg.Wait()
+	d.Logger.Info("stop", "took", d.Clock.Now().Sub(begin))
+	return err
+}
+
+func (d *Daemon) build() {
+	s, p := d.Settings, d.Platform
+	d.owners = &owners{Log: p.Log, Group: groupName, Clock: d.Clock, Logger: d.Logger, wake: make(chan struct{}, 1)}
+	d.member = &group.Member{
+		Log: p.Log, Group: groupName, ID: newMemberID(s.Peer, time.Now()), Topics: []plog.Topic{shard.JobsTopic},
+		TTL: max(groupTTL, s.Log.MinTTL.Duration), Start: d.startOwner, Clock: d.Clock, Logger: d.Logger,
+	}
+	d.member.Init()
+	d.service = &Service{Parts: s.Log.Parts, Member: d.member, Owners: d.owners, Links: &link.Client{}, Clock: d.Clock, Logger: d.Logger}
+	d.direct = &direct.Directory{Decode: p.DecodeTarget, Guards: d.guards, Clock: d.Clock, Logger: d.Logger}
+}
+
+func (d *Daemon) guards(pool ident.PoolID) bool {
+	if t := d.service.routes.Load(); t != nil {
+		for _, p := range t.Pools {
+			if p.ID == pool {
+				return p.Guards
+			}
+		}
+	}
+	return false
+}
+
+func (d *Daemon) listen(ctx context.Context) (client, ready, peer net.Listener, err error) {
+	for _, l := range []struct {
+		to   *net.Listener
+		addr string
+	}{{&client, d.Settings.Client}, {&ready, d.Settings.Readiness}, {&peer, d.Settings.Peer}} {
+		if *l.to, err = link.Listen(ctx, l.addr); err != nil {
+			return nil, nil, nil, err
+		}
+	}
+	return client, ready, peer, nil
+}
+
+func (d *Daemon) httpServer(h http.Handler) *http.Server {
+	return &http.Server{
+		Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: clientIdle, MaxHeaderBytes: maxHeader,
+		ErrorLog: log.New(io.Discard, "", 0), // connections that break are the clients' concern
+	}
+}
+
+func serve(s *http.Server, l net.Listener) error {
+	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
+// readiness tells the balancer whether this process can serve clients.
+func (d *Daemon) readiness(w http.ResponseWriter, _ *http.Request) {
+	if d.stopping.Load() || d.service.routes.Load() == nil || !d.owners.Known() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// hintOthers tells the other processes that the partitions have passed on.
+func (d *Daemon) hintOthers(ctx context.Context) {
+	var wg sync.WaitGroup
+	for _, addr := range d.owners.Addresses() {
+		if addr == d.Settings.Peer {
+			continue
+		}
+		wg.Go(func() {
+			ctx, cancel := context.WithTimeout(ctx, hintTimeout)
+			defer cancel()
+			if _, err := link.Call[struct{}](ctx, d.service.Links, addr, methodRejoin, struct{}{}); err != nil {
+				d.Logger.Debug("hint not delivered", "peer", addr, "error", err)
+			}
+		})
+	}
+	wg.Wait()
+	d.owners.Hint()
+}
+
+// hintTimeout bounds a hint, without which the others find out within one join period.
+const hintTimeout = 300 * time.Millisecond
+
+func (d *Daemon) watchConfig() *watch.Watch {
+	apply := func(r plog.Record) {
+		if r.Key != d.Platform.ConfigKey || len(r.Value) == 0 {
+			return
+		}
+		c, err := d.Platform.DecodeConfig(r.Value)
+		if err != nil {
+			d.Logger.Error("the configuration can't be read; the last one stays in force", "error", err)
+			return
+		}
+		old := d.service.routes.Load()
+		if old != nil && c.Version <= old.Version {
+			return
+		}
+		d.service.routes.Store(route.New(c))
+		d.Logger.Info("configuration in force", "version", c.Version, "routes", len(c.Routes), "pools", len(c.Pools))
+	}
+	return &watch.Watch{
+		Log: d.Platform.Log, From: d.Platform.Operator, Wait: configWait, Clock: d.Clock, Logger: d.Logger,
+		Replace: func(records []plog.Record) {
+			for _, r := range records {
+				apply(r)
+			}
+		},
+		Apply: apply,
+	}
+}
+
+func (d *Daemon) watchTargets() *watch.Watch {
+	return &watch.Watch{
+		Log: d.Platform.Log, From: d.Platform.Targets, Wait: 0, Pause: targetsPause, Wanted: d.member.Owns,
+		Replace: d.direct.Replace, Apply: d.direct.Apply, Clock: d.Clock, Logger: d.Logger,
+	}
+}
+
+// startOwner makes the owner of one partition.
+func (d *Daemon) startOwner(p plog.TopicPartition, epoch plog.Epoch) group.Owner {
+	s := &shard.Shard{
+		Partition: p.Partition, Parts: d.Settings.Log.Parts, Epoch: epoch, Log: d.Platform.Log, Targets: targets{d}, Adviser: d.Platform.Adviser,
+		Bounds: d.Settings.bounds(), Clock: d.Clock, Logger: d.Logger, Events: d.logEvent,
+		Queues: d.queues, WallOffset: func() time.Duration { return 0 }, Confirmed: d.member.Confirmed,
+	}
+	s.Init(d.ctx)
+	go s.Run()
+	return s
+}
+
+func (d *Daemon) queues() []work.Queue {
+	if t := d.service.routes.Load(); t != nil {
+		return t.Queues
+	}
+	return nil
+}
+
+func (d *Daemon) logEvent(e jobs.Event) {
+	args := []any{"job", e.Job}
+	if e.Queue != "" {
+		args = append(args, "queue", e.Queue)
+	}
+	if e.Task.Job != "" {
+		args = append(args, "task", e.Task.String(), "attempt", e.Attempt)
+	}
+	if e.Target != "" {
+		args = append(args, "target", e.Target)
+	}
+	if e.Detail != "" {
+		args = append(args, "detail", e.Detail)
+	}
+	if e.Delay != 0 {
+		args = append(args, "delay", e.Delay)
+	}
+	d.Logger.Info(string(e.Kind), args...)
+}
+
+// targets gives shards the directory and callers.
+type targets struct{ d *Daemon }
+
+// Caller implements shard.Targets.
+func (t targets) Caller(reg work.Registration) agent.Caller {
+	return t.d.Platform.NewCaller(reg.ID, reg.Addr)
+}
+
+// Snapshot implements shard.Targets.
+func (t targets) Snapshot(pool ident.PoolID) []work.Registration { return t.d.direct.Snapshot(pool) }
+
+func (d *Daemon) serveMetrics(ctx context.Context) {
+	l, err := link.Listen(ctx, d.Settings.Metrics)
+	if err != nil {
+		d.Logger.Error("metrics are not served", "error", err)
+		return
+	}
+	srv := d.httpServer(metricsHandler())
+	stop := context.AfterFunc(ctx, func() { _ = srv.Close() })
+	defer stop()
+	if err := serve(srv, l); err != nil {
+		d.Logger.Error("metrics are not served any more", "error", err)
+	}
+}
--- /dev/null
+++ b/internal/jobd/settings.go
@@ -0,0 +1,150 @@
+package jobd
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+
+	"github.com/toucanhatch/toucanhatch/internal/config"
+	"github.com/toucanhatch/toucanhatch/internal/jobs"
+	"github.com/toucanhatch/toucanhatch/pkg/ident"
+)
+
+// Settings are the settings of one jobs daemon.
+type Settings struct {
+	Entry     ident.EntryID `toml:"entry"`
+	Zone      ident.ZoneID  `toml:"zone"`
+	Client    string        `toml:"client"`    // address that clients use, IP:port
+	Readiness string        `toml:"readiness"` // address of the readiness check, IP:port
+	Peer      string        `toml:"peer"`      // address for the other daemons, IP:port
+	Metrics   string        `toml:"metrics"`   // address for counters and histograms, IP:port
+	Log       LogSettings   `toml:"log"`
+	// Machines is the address of the service that moves VMs; empty where there is none.
+	Machines string `toml:"machines"`
+	Fencing  bool   `toml:"fencing"` // the machine service checks tokens
+	// Advice is the address of the service that says which targets may run a step; empty where there is none.
+	Advice      string          `toml:"advice"`
+	ControlMode string          `toml:"control_mode"` // how targets receive orders; only "invoke" is supported
+	Memory      ident.Bytes     `toml:"memory"`       // limit of the VM
+	Grace       config.Duration `toml:"grace"`        // between SIGTERM and SIGKILL
+	LogLevel    string          `toml:"log_level"`
+	Bounds      BoundSettings   `toml:"bounds"`
+}
+
+// LogSettings describe the platform's log.
+type LogSettings struct {
+	Address string          `toml:"address"` // IP:port
+	Parts   int             `toml:"parts"`   // partitions of a topic
+	MinTTL  config.Duration `toml:"min_ttl"` // shortest ttl of a group member
+}
+
+// BoundSettings are the figures of the platform.
+type BoundSettings struct {
+	StopTimeout  config.Duration `toml:"stop_timeout"`
+	RemoteCost   float64         `toml:"remote_cost"`
+	Restore      config.Duration `toml:"restore"`
+	Notice       config.Duration `toml:"notice"`
+	Disruption   config.Duration `toml:"disruption"`
+	GangWait     config.Duration `toml:"gang_wait"`
+	Retention    config.Duration `toml:"retention"`
+	MachineLease config.Duration `toml:"machine_lease"`
+	Move         config.Duration `toml:"move"`
+	Upkeep       config.Duration `toml:"upkeep"`
+}
+
+// SettingsVariable names the environment variable that holds the path of the settings.
+const SettingsVariable = "TOUCANHATCH_SETTINGS"
+
+const (
+	defaultGrace     = 6 * time.Second
+	defaultRetention = 2 * time.Minute
+	defaultParts     = 12
+	modeInvoke       = "invoke"
+)
+
+// LoadSettings reads and checks a settings file; the error lists every fault.
+func LoadSettings(path string) (*Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	s := &Settings{
+		LogLevel: "info", ControlMode: modeInvoke, Grace: config.Duration{Duration: defaultGrace},
+		Bounds: BoundSettings{Retention: config.Duration{Duration: defaultRetention}, RemoteCost: 1},
+		Log:    LogSettings{Parts: defaultParts},
+	}
+	if err := toml.NewDecoder(bytes.NewReader(data)).DisallowUnknownFields().Decode(s); err != nil {
+		var unknown *toml.StrictMissingError
+		if errors.As(err, &unknown) {
+			return nil, fmt.Errorf("settings %s: unknown keys:\n%s", path, unknown.String())
+		}
+		var syntax *toml.DecodeError
+		if errors.As(err, &syntax) {
+			line, _ := syntax.Position()
+			return nil, fmt.Errorf("settings %s:%d: %w", path, line, err)
+		}
+		return nil, fmt.Errorf("settings %s: %w", path, err)
+	}
+	if err := s.check(); err != nil {
+		return nil, fmt.Errorf("settings %s: %w", path, err)
+	}
+	return s, nil
+}
+
+func (s *Settings) check() error {
+	var faults []error
+	fault := func(format string, args ...any) { faults = append(faults, fmt.Errorf(format, args...)) }
+	if s.Entry == "" {
+		fault("entry is missing")
+	}
+	for _, a := range []struct {
+		key, value string
+		optional   bool
+	}{
+		{"client", s.Client, false},
+		{"readiness", s.Readiness, false},
+		{"peer", s.Peer, false},
+		{"metrics", s.Metrics, true},
+		{"log.address", s.Log.Address, false},
+		{"machines", s.Machines, true},
+		{"advice", s.Advice, true},
+	} {
+		if a.value == "" && a.optional {
+			continue
+		}
+		if host, _, err := net.SplitHostPort(a.value); err != nil || net.ParseIP(host) == nil {
+			fault("%s = %q is not an IP address and port", a.key, a.value)
+		}
+	}
+	if s.ControlMode != modeInvoke {
+		fault("control_mode = %q is not supported, %q is", s.ControlMode, modeInvoke)
+	}
+	if s.Log.Parts < 1 {
+		fault("log.parts = %d is not positive", s.Log.Parts)
+	}
+	if s.Memory < 0 {
+		fault("memory = %d is negative", s.Memory)
+	}
+	if s.Grace.Duration <= 0 {
+		fault("grace = %v is not positive", s.Grace)
+	}
+	switch s.LogLevel {
+	case "trace", "debug", "info", "warn", "error":
+	default:
+		fault("log_level = %q is none of trace, debug, info, warn, error", s.LogLevel)
+	}
+	return errors.Join(faults...)
+}
+
+func (s *Settings) bounds() jobs.Bounds {
+	b := &s.Bounds
+	return jobs.Bounds{
+		StopTimeout: b.StopTimeout.Duration, RemoteCost: b.RemoteCost, Restore: b.Restore.Duration, Notice: b.Notice.Duration,
+		Disruption: b.Disruption.Duration, GangWait: b.GangWait.Duration, Retention: b.Retention.Duration,
+	}
+}
--- /dev/null
+++ b/internal/jobs/event.go
@@ -0,0 +1,39 @@
+package jobs
+
+import (
+	"time"
+
+	"github.com/toucanhatch/toucanhatch/internal/work"
+)
+
+// EventKind names a decision of the pool.
+type EventKind string
+
+// The decisions that the pool reports.
+const (
+	EventAccepted  EventKind = "accepted"
+	EventRefused   EventKind = "refused"
+	EventWithdrawn EventKind = "withdrawn"
+	EventCancelled EventKind = "cancelled"
+	EventCompleted EventKind = "completed"
+	EventFailed    EventKind = "failed"
+	EventPlanned   EventKind = "planned"
+	EventAdopted   EventKind = "adopted"
+	EventEnded     EventKind = "ended"
+	EventStopping  EventKind = "stopping"
+	EventRejected  EventKind = "rejected" // a target rejected a start
+	EventUnsure    EventKind = "unsure"   // a start got no answer
+	EventSuspect   EventKind = "suspect"  // a target is given less work
+)
+
+// Event is one decision, with the facts that led to it.
+type Event struct {
+	Kind    EventKind
+	Job     work.JobID
+	Queue   work.QueueID
+	Task    work.TaskID
+	Attempt work.Attempt
+	Target  work.TargetID
+	Detail  string
+	Delay   time.Duration // expected wait, or when to come back
+}
--- /dev/null
+++ b/internal/jobs/pool.go
@@ -0,0 +1,304 @@
+package jobs
+
+import (
+	"time"
+
+	"github.com/toucanhatch/toucanhatch/internal/admit"
+	"github.com/toucanhatch/toucanhatch/internal/work"
+	"github.com/toucanhatch/toucanhatch/pkg/ident"
+)
+
+// Flush numbers the writes of a pool's owner. A change is durable once the
+// write with its number, or a later one, has been confirmed.
+type Flush uint64
+
+// Pool is the state machine of one pool. It is not safe for concurrent use.
+// Set its exported fields before the first event.
+type Pool struct {
+	ID     ident.PoolID
+	Fence  work.Fence // sent with every order
+	Bounds Bounds
+	// Events receives each decision for the log; nil drops them.
+	Events func(Event)
+
+	wallOffset time.Duration
+	queues     map[work.QueueID]work.Queue
+	jobs       map[work.JobID]*job
+	active     []*job // jobs that are not finished
+	targets    map[work.TargetID]*target
+	dirty      map[work.JobID]*job
+	next       Flush // the number of the next write
+	durable    Flush // the last write that was confirmed
+	orders     []Order
+	held       []*run // planned runs whose record isn't durable yet
+	learned    map[work.QueueID]*ratio
+	advice     map[stepKey]*tickets
+	replan     bool
+}
+
+// Bounds are the limits of the platform that the pool has to respect.
+type Bounds struct {
+	StopTimeout time.Duration // a stopped run has ended by then
+	RemoteCost  float64       // factor on the time of a task away from its data
+	Restore     time.Duration // what a resumed run needs before it goes on
+	Notice      time.Duration // a lasting task that is away for longer counts as unavailable
+	Disruption  time.Duration // how long a serving task may miss its objective because of tasks that fill
+	GangWait    time.Duration // how long the members of a gang wait for each other
+	Retention   time.Duration // how long a finished job is still shown
+}
+
+// NewPool returns an empty pool.
+func NewPool(id ident.PoolID) *Pool {
+	return &Pool{
+		ID: id, next: 1,
+		queues: map[work.QueueID]work.Queue{}, jobs: map[work.JobID]*job{}, targets: map[work.TargetID]*target{},
+		dirty: map[work.JobID]*job{}, learned: map[work.QueueID]*ratio{}, advice: map[stepKey]*tickets{},
+	}
+}
+
+// SetWallOffset sets the difference between the wall clock and the times passed
+// to the pool, by which scheduled occurrences become due.
+func (p *Pool) SetWallOffset(d time.Duration) { p.wallOffset = d }
+
+func (p *Pool) wall(now time.Time) time.Time { return now.Add(p.wallOffset) }
+
+// SetQueues replaces the configuration of the queues that the pool serves. A
+// queue that is gone keeps its last configuration for the jobs that it holds.
+func (p *Pool) SetQueues(queues []work.Queue) {
+	for _, q := range queues {
+		p.queues[q.ID] = q
+	}
+}
+
+// learnQueue takes the configuration of a queue that the pool has not heard of itself.
+func (p *Pool) learnQueue(q work.Queue) {
+	if _, known := p.queues[q.ID]; !known {
+		p.queues[q.ID] = q
+	}
+}
+
+// Submission is the answer to [Pool.Submit].
+type Submission struct {
+	Refused    bool
+	RetryAfter time.Duration // when the client should come back, if refused
+	// Flush is the write that makes the job durable; the client may be answered after it.
+	Flush Flush
+}
+
+// Submit takes in a job that is not [Pool.Known].
+func (p *Pool) Submit(now time.Time, id work.JobID, queue work.Queue, spec *work.Spec) Submission {
+	p.learnQueue(queue)
+	verdict := admit.Decide(p.load(now), p.demand(queue, spec))
+	if !verdict.Admit {
+		p.event(Event{Kind: EventRefused, Job: id, Queue: queue.ID, Detail: verdict.Reason, Delay: verdict.RetryAfter})
+		return Submission{Refused: true, RetryAfter: verdict.RetryAfter}
+	}
+	j := newJob(id, queue.ID, spec, p.wall(now))
+	p.add(now, j)
+	j.storedBy = p.next
+	p.touch(j)
+	p.replan = true
+	p.event(Event{Kind: EventAccepted, Job: id, Queue: queue.ID, Delay: verdict.Wait})
+	return Submission{Flush: j.storedBy}
+}
+
+// Known reports whether the pool has a job of this id, stored or about to be.
+func (p *Pool) Known(id work.JobID) bool { return p.jobs[id] != nil }
+
+// StoredBy returns the write that makes a known job durable.
+func (p *Pool) StoredBy(id work.JobID) Flush {
+	if j := p.jobs[id]; j != nil {
+		return j.storedBy
+	}
+	return 0
+}
+
+// Withdraw removes a job whose record was never stored, so that its client may be refused.
+func (p *Pool) Withdraw(now time.Time, id work.JobID) {
+	j := p.jobs[id]
+	if j == nil {
+		return
+	}
+	for _, o := range j.occurrences {
+		for s := range o.steps {
+			for i := range o.steps[s].tasks {
+				if r := o.steps[s].tasks[i].run; r != nil {
+					p.drop(r)
+				}
+			}
+		}
+	}
+	delete(p.jobs, id)
+	delete(p.dirty, id)
+	p.retire(j)
+	p.event(Event{Kind: EventWithdrawn, Job: id, Queue: j.queue})
+}
+
+// Cancel ends a job; known is false if no such job exists. The client may be answered after the write flush.
+func (p *Pool) Cancel(now time.Time, id work.JobID) (flush Flush, known bool) {
+	j := p.jobs[id]
+	if j == nil {
+		return 0, false
+	}
+	if j.over() {
+		return j.changed, true
+	}
+	j.cancelled = true
+	p.finish(now, j)
+	p.event(Event{Kind: EventCancelled, Job: id, Queue: j.queue})
+	return j.changed, true
+}
+
+// State returns what clients may be told of a job, given that all writes up to durable are confirmed.
+func (p *Pool) State(id work.JobID, durable Flush) (work.State, bool) {
+	j := p.jobs[id]
+	if j == nil || j.storedBy > durable {
+		return "", false
+	}
+	if j.over() && j.changed <= durable {
+		switch {
+		case j.cancelled:
+			return work.Cancelled, true
+		case j.failed:
+			return work.Failed, true
+		default:
+			return work.Completed, true
+		}
+	}
+	if j.began {
+		return work.Active, true
+	}
+	return work.Queued, true
+}
+
+// Pending returns how many accepted jobs of a queue have not begun.
+func (p *Pool) Pending(queue work.QueueID) int {
+	n := 0
+	for _, j := range p.active {
+		if j.queue == queue && !j.began {
+			n++
+		}
+	}
+	return n
+}
+
+// Restore adds a job from its record. Call it before the first event.
+func (p *Pool) Restore(now time.Time, r *Record) {
+	p.learnQueue(r.Queue)
+	j := restoreJob(p, now, r)
+	p.add(now, j)
+	p.replan = true
+}
+
+// Next returns the number that the next write gets.
+func (p *Pool) Next() Flush { return p.next }
+
+// Flush returns the records that have changed since the last call and closes
+// the write; the returned number covers all changes so far.
+func (p *Pool) Flush() ([]*Record, Flush) {
+	if len(p.dirty) == 0 {
+		return nil, p.next
+	}
+	records := make([]*Record, 0, len(p.dirty))
+	for _, j := range p.dirty {
+		records = append(records, j.record(p.ID, p.queues[j.queue]))
+	}
+	clear(p.dirty)
+	n := p.next
+	p.next++
+	return records, n
+}
+
+// Redo marks the jobs of a write that did not take place as changed again.
+func (p *Pool) Redo(records []*Record) {
+	for _, r := range records {
+		if j := p.jobs[r.ID]; j != nil {
+			p.touch(j)
+		}
+	}
+}
+
+// Durable releases the start orders that waited for writes up to flush.
+func (p *Pool) Durable(now time.Time, flush Flush) {
+	p.durable = max(p.durable, flush)
+	kept := p.held[:0]
+	for _, r := range p.held {
+		switch {
+		case r.state != runPlanned:
+		case r.flush <= flush:
+			p.order(now, r)
+		default:
+			kept = append(kept, r)
+		}
+	}
+	p.held = kept
+	for _, t := range p.targets {
+		t.release(flush)
+	}
+}
+
+// Orders returns the orders that have become due and forgets them.
+func (p *Pool) Orders() []Order {
+	o := p.orders
+	p.orders = nil
+	return o
+}
+
+// Expire forgets finished jobs that need not be shown any more and returns their ids.
+func (p *Pool) Expire(now time.Time) []work.JobID {
+	var gone []work.JobID
+	for id, j := range p.jobs {
+		if j.over() && p.wall(now).Sub(j.finished) > p.Bounds.Retention && p.dirty[id] == nil {
+			gone = append(gone, id)
+			delete(p.jobs, id)
+		}
+	}
+	return gone
+}
+
+func (p *Pool) add(now time.Time, j *job) {
+	p.jobs[j.id] = j
+	if !j.over() {
+		p.active = append(p.active, j)
+		j.wake(p.wall(now))
+	}
+}
+
+// touch marks a job's record as changed.
+func (p *Pool) touch(j *job) {
+	j.changed = p.next
+	p.dirty[j.id] = j
+}
+
+// retire takes a finished job off the list of active ones.
+func (p *Pool) retire(j *job) {
+	for i, x := range p.active {
+		if x == j {
+			p.active = append(p.active[:i], p.active[i+1:]...)
+			return
+		}
+	}
+}
+
+// finish closes a job that is cancelled, failed or completed, and stops what still runs of it.
+func (p *Pool) finish(now time.Time, j *job) {
+	j.finished = p.wall(now)
+	p.touch(j)
+	p.retire(j)
+	for _, o := range j.occurrences {
+		for s := range o.steps {
+			for i := range o.steps[s].tasks {
+				if r := o.steps[s].tasks[i].run; r != nil {
+					p.stop(now, r, "the job is over")
+				}
+			}
+		}
+	}
+	p.replan = true
+}
+
+func (p *Pool) event(e Event) {
+	if p.Events != nil {
+		p.Events(e)
+	}
+}
--- /dev/null
+++ b/internal/jobs/record.go
@@ -0,0 +1,68 @@
+package jobs
+
+import (
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/toucanhatch/toucanhatch/internal/work"
+	"github.com/toucanhatch/toucanhatch/pkg/ident"
+)
+
+// Record is the durable state of one job. The newest record of a job replaces all earlier ones.
+type Record struct {
+	ID        work.JobID   `cbor:"1,keyasint"`
+	Queue     work.Queue   `cbor:"2,keyasint"`
+	Pool      ident.PoolID `cbor:"3,keyasint"`
+	Spec      work.Spec    `cbor:"4,keyasint"`
+	Accepted  time.Time    `cbor:"5,keyasint"`
+	Cancelled bool         `cbor:"6,keyasint,omitempty"`
+	Failed    bool         `cbor:"7,keyasint,omitempty"`
+	Finished  time.Time    `cbor:"8,keyasint,omitempty"` // when it completed, failed or was cancelled
+	// Tasks holds the tasks that were started at least once.
+	Tasks []TaskRecord `cbor:"9,keyasint,omitempty"`
+	// Done holds one bitmap of the done tasks for each step of each occurrence.
+	Done [][]byte `cbor:"10,keyasint,omitempty"`
+}
+
+// TaskRecord is the durable state of a task that has been started and isn't done.
+type TaskRecord struct {
+	_          struct{} `cbor:",toarray"`
+	Occurrence int
+	Step       int
+	Index      int
+	Attempt    work.Attempt // highest attempt planned
+	Failures   int
+	LastFailed work.Attempt // highest attempt whose failure is counted
+	Checkpoint string
+	Target     work.TargetID // where the task may be running; empty if nowhere
+	Born       int64
+}
+
+// recordModes is the codec of records; times are kept as nanoseconds.
+var encodeMode, decodeMode = func() (cbor.EncMode, cbor.DecMode) {
+	enc, err := cbor.EncOptions{Time: cbor.TimeUnixDynamic}.EncMode()
+	if err != nil {
+		panic(err)
+	}
+	dec, err := cbor.DecOptions{MaxArrayElements: 1 << 20, MaxMapPairs: 1 << 16, MaxNestedLevels: 16}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return enc, dec
+}()
+
+// Encode returns the record's bytes.
+func (r *Record) Encode() ([]byte, error) { return encodeMode.Marshal(r) }
+
+// DecodeRecord reads bytes written by [Record.Encode].
+func DecodeRecord(b []byte) (*Record, error) {
+	r := &Record{}
+	if err := decodeMode.Unmarshal(b, r); err != nil {
+		return nil, err
+	}
+	if err := r.Spec.Check(); err != nil {
+		return nil, err
+	}
+	return r, nil
+}
--- /dev/null
+++ b/internal/jobs/target.go
@@ -0,0 +1,301 @@
+package jobs
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/toucanhatch/toucanhatch/internal/judge"
+	"github.com/toucanhatch/toucanhatch/internal/work"
+)
+
+// target is what the pool knows of one target.
+type target struct {
+	work.Registration
+	registered bool  // on the live list
+	life       int64 // start of the life that was heard under our fence; 0 if none
+	heard      time.Time
+	unheard    bool // the last request got no answer
+	used       work.Resources
+	runs       map[runKey]*run
+	cordon     CordonReason
+	shunned    time.Time // no starts before
+	endSeq     int64     // highest end that was taken in
+	acks       []ackMark
+	acked      int64 // ends up to here may be acknowledged
+	verdict    judge.Verdict
+}
+
+// CordonReason says why a target gets no new tasks.
+type CordonReason string
+
+// The reasons to cordon a target.
+const (
+	NoCordon     CordonReason = ""
+	CordonUpkeep CordonReason = "upkeep"
+	CordonMove   CordonReason = "move"
+)
+
+type ackMark struct {
+	seq   int64
+	flush Flush
+}
+
+// shun keeps new tasks off the target for d.
+func (t *target) shun(now time.Time, d time.Duration) {
+	if until := now.Add(d); until.After(t.shunned) {
+		t.shunned = until
+	}
+}
+
+// release allows ends to be acknowledged that are durable with the writes up to flush.
+func (t *target) release(flush Flush) {
+	for len(t.acks) > 0 && t.acks[0].flush <= flush {
+		t.acked = t.acks[0].seq
+		t.acks = t.acks[1:]
+	}
+}
+
+// usable reports whether the target may be given tasks.
+func (t *target) usable(now time.Time) bool {
+	return t.registered && !t.Draining && t.life != 0 && !t.unheard && t.cordon == NoCordon && !now.Before(t.shunned)
+}
+
+// known returns the target, creating an entry for one that is only named in a record.
+func (p *Pool) known(id work.TargetID) *target {
+	t := p.targets[id]
+	if t == nil {
+		t = &target{runs: map[runKey]*run{}}
+		t.ID = id
+		p.targets[id] = t
+	}
+	return t
+}
+
+// Register takes in what the live list says of a target.
+func (p *Pool) Register(now time.Time, reg work.Registration) {
+	t := p.known(reg.ID)
+	if !t.registered || t.Draining != reg.Draining || t.Room != reg.Room {
+		p.replan = true
+	}
+	drains := reg.Draining && !t.Draining
+	t.Registration, t.registered = reg, true
+	if drains {
+		p.drain(now, t)
+	}
+}
+
+// Unregister notes that the live list doesn't name the target any more. What it runs stays until its lease has passed.
+func (p *Pool) Unregister(id work.TargetID) {
+	if t := p.targets[id]; t != nil {
+		t.registered = false
+		p.forget(t)
+	}
+}
+
+// forget removes a target that is gone and holds nothing.
+func (p *Pool) forget(t *target) {
+	if !t.registered && len(t.runs) == 0 {
+		delete(p.targets, t.ID)
+	}
+}
+
+// Holds reports whether a target may still run something.
+func (p *Pool) Holds(id work.TargetID) bool {
+	t := p.targets[id]
+	return t != nil && len(t.runs) > 0
+}
+
+// TargetIDs returns all targets that the pool knows of.
+func (p *Pool) TargetIDs() []work.TargetID {
+	return slices.Collect(maps.Keys(p.targets))
+}
+
+// Cordon keeps new tasks off a target, or ends that.
+func (p *Pool) Cordon(id work.TargetID, reason CordonReason) {
+	if t := p.targets[id]; t != nil && t.cordon != reason {
+		t.cordon = reason
+		p.replan = true
+	}
+}
+
+// Acked returns up to which end the target's list may be acknowledged.
+func (p *Pool) Acked(id work.TargetID) int64 {
+	if t := p.targets[id]; t != nil {
+		return t.acked
+	}
+	return 0
+}
+
+// Unheard notes that the target did not answer; it gets no new tasks until it does.
+func (p *Pool) Unheard(id work.TargetID) {
+	if t := p.targets[id]; t != nil {
+		t.unheard = true
+	}
+}
+
+// Lapsed notes that whatever the target ran has surely ended, by its lease.
+func (p *Pool) Lapsed(now time.Time, id work.TargetID) {
+	t := p.targets[id]
+	if t == nil {
+		return
+	}
+	t.life = 0
+	for _, r := range t.runs {
+		p.lost(now, r, "the lease has passed")
+	}
+	p.forget(t)
+}
+
+// lost ends a run without an end from its target.
+func (p *Pool) lost(now time.Time, r *run, why string) {
+	p.event(Event{Kind: EventEnded, Job: r.key.task.Job, Task: r.key.task, Attempt: r.key.attempt, Target: r.target.ID, Detail: string(work.EndLost) + ": " + why})
+	p.detach(r)
+	if r.task != nil && r.checkpoint != "" && !r.task.done {
+		r.task.checkpoint = r.checkpoint
+	}
+	p.breakGang(now, r, "a member was lost")
+}
+
+// Listed takes in a target's list.
+func (p *Pool) Listed(now time.Time, l work.List) {
+	t := p.known(l.Target)
+	t.heard, t.unheard = now, false
+	if t.life != l.Born {
+		p.newLife(now, t, l.Born)
+	}
+	for i := range l.Running {
+		p.listedRunning(now, t, &l.Running[i])
+	}
+	for i := range l.Ended {
+		if row := &l.Ended[i]; row.Seq > t.endSeq {
+			t.endSeq = row.Seq
+			p.ended(now, t, row)
+		}
+	}
+	if n := len(t.acks); t.endSeq > t.acked && (n == 0 || t.acks[n-1].seq < t.endSeq) {
+		t.acks = append(t.acks, ackMark{t.endSeq, p.ackFlush()})
+	}
+	t.release(p.durable)
+	p.missing(now, t, &l)
+	p.forget(t)
+}
+
+// ackFlush returns the write after which all that is known now is durable.
+func (p *Pool) ackFlush() Flush {
+	if len(p.dirty) == 0 {
+		return p.next - 1 // perhaps still in flight
+	}
+	return p.next
+}
+
+// newLife ends the runs of a target's former life. A start that may still be
+// on its way is stopped in the new life before its task starts elsewhere.
+func (p *Pool) newLife(now time.Time, t *target, born int64) {
+	t.life, t.endSeq, t.acked, t.acks = born, 0, 0, nil
+	p.replan = true
+	for _, r := range t.runs {
+		switch {
+		case r.born == born:
+		case r.state == runPlanned:
+			p.drop(r)
+		case !r.foreign && (r.state == runOrdered || r.state == runUnsettled):
+			r.born, r.state, r.stopAcked = born, runStopping, false
+			p.sendStop(now, r)
+		default:
+			p.lost(now, r, "the target has restarted")
+		}
+	}
+}
+
+func (p *Pool) listedRunning(now time.Time, t *target, row *work.RunningRow) {
+	key := runKey{row.Task, row.Attempt}
+	r := t.runs[key]
+	if r == nil {
+		r = p.adopt(now, t, key)
+	}
+	if r.job != nil && (r.state == runOrdered || r.state == runUnsettled) {
+		r.foreign = false
+		p.confirm(now, r)
+	}
+	if row.Percent > r.percent || r.advancedAt.IsZero() {
+		r.advancedAt = now
+	}
+	r.percent, r.tail, r.used = row.Percent, row.Tail, row.CPU
+	if row.Checkpoint != "" {
+		r.checkpoint = row.Checkpoint
+	}
+	r.seenAt(now)
+}
+
+// seenAt tracks since when a lasting task hasn't been at work.
+func (r *run) seenAt(now time.Time) {
+	if r.task == nil || r.spec == nil || !r.spec.Lasting {
+		return
+	}
+	if r.percent >= 100 {
+		r.task.awaySince = time.Time{}
+	} else if r.task.awaySince.IsZero() {
+		r.task.awaySince = now
+	}
+}
+
+// adopt takes over a run that the pool did not plan: one of a former owner, or
+// a late start. A run that is not wanted is stopped.
+func (p *Pool) adopt(now time.Time, t *target, key runKey) *run {
+	r := &run{key: key, born: t.life, state: runRunning, since: now, startedAt: now, advancedAt: now, pace: 100}
+	j := p.jobs[key.task.Job]
+	why := "the job is not known"
+	if j != nil {
+		if tk, st := j.find(key.task); tk != nil {
+			r.job, r.spec = j, &j.spec.Steps[key.task.Step]
+			tk.attempt = max(tk.attempt, key.attempt)
+			if tk.run != nil && tk.run.state == runPlanned {
+				p.drop(tk.run)
+			}
+			switch {
+			case j.over() || tk.done:
+				why = "the task is over"
+			case tk.run != nil:
+				why = "the task has another run"
+			default:
+				r.task, r.step, why = tk, st, ""
+				j.began = true
+			}
+		}
+	}
+	p.attach(r, t)
+	if why != "" {
+		p.stop(now, r, why)
+	} else {
+		p.event(Event{Kind: EventAdopted, Job: key.task.Job, Task: key.task, Attempt: key.attempt, Target: t.ID})
+	}
+	return r
+}
+
+// missing ends the runs that the list would name if they were there.
+func (p *Pool) missing(now time.Time, t *target, l *work.List) {
+	listed := make(map[runKey]bool, len(l.Running))
+	for i := range l.Running {
+		listed[runKey{l.Running[i].Task, l.Running[i].Attempt}] = true
+	}
+	for key, r := range t.runs {
+		if listed[key] || !l.Sent.After(r.since) {
+			continue
+		}
+		switch r.state {
+		case runRunning:
+			p.lost(now, r, "the target doesn't list it")
+		case runUnsettled:
+			if r.foreign {
+				p.lost(now, r, "the target doesn't list what a former owner started")
+			} else {
+				p.stop(now, r, "a start without an answer did not take effect")
+			}
+		case runStopping:
+			if r.stopAcked {
+				p.lost(now, r, "stopped")
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/jobs/tick.go
@@ -0,0 +1,149 @@
+package jobs
+
+import (
+	"time"
+
+	"github.com/toucanhatch/toucanhatch/internal/admit"
+	"github.com/toucanhatch/toucanhatch/internal/judge"
+	"github.com/toucanhatch/toucanhatch/internal/pace"
+	"github.com/toucanhatch/toucanhatch/internal/work"
+)
+
+// Tick does what time brings: scheduled occurrences, repeated stops, tasks that
+// stand still, and the pace of tasks that fill.
+func (p *Pool) Tick(now time.Time) {
+	for _, j := range p.active {
+		if len(j.occurrences) < j.spec.Occurrences() && j.wake(p.wall(now)) {
+			p.touch(j)
+			p.replan = true
+		}
+	}
+	for _, t := range p.targets {
+		p.tickTarget(now, t)
+	}
+	for key := range p.advice {
+		if j := p.jobs[key.job]; j == nil || j.over() {
+			delete(p.advice, key)
+		}
+	}
+	p.replan = p.replan || p.anyWaiting()
+}
+
+// anyWaiting reports whether a task could not be placed before; room may have become usable since.
+func (p *Pool) anyWaiting() bool {
+	for _, j := range p.active {
+		if j.wantsWork() {
+			return true
+		}
+	}
+	return false
+}
+
+func (p *Pool) tickTarget(now time.Time, t *target) {
+	if t.unheard {
+		return
+	}
+	for _, r := range t.runs {
+		switch r.state {
+		case runStopping:
+			if !r.stopAcked && now.Sub(r.stopSent) >= stopResend {
+				p.sendStop(now, r)
+			}
+		case runRunning:
+			p.checkStall(now, t, r)
+		}
+	}
+	p.setPace(now, t)
+}
+
+// checkStall restarts a task elsewhere that makes no progress while its target answers.
+func (p *Pool) checkStall(now time.Time, t *target, r *run) {
+	if r.task == nil || r.spec.Lasting || r.spec.Gang || r.spec.Estimate <= 0 || now.Sub(t.heard) > time.Second {
+		return
+	}
+	expected := p.expected(r.job.queue, r.spec)
+	if r.spec.Rack != "" && r.spec.Rack != t.Rack {
+		expected = time.Duration(float64(expected) * max(1, p.Bounds.RemoteCost))
+	}
+	if !judge.Stall(expected, now.Sub(r.startedAt), now.Sub(r.advancedAt), r.percent) {
+		return
+	}
+	t.verdict.Stalled(now)
+	p.event(Event{Kind: EventSuspect, Job: r.job.id, Task: r.key.task, Attempt: r.key.attempt, Target: t.ID, Detail: "a task makes too little progress"})
+	r.task.avoid = t.ID
+	p.stop(now, r, "too little progress")
+}
+
+// setPace adjusts the tasks that fill to what the serving tasks beside them need.
+func (p *Pool) setPace(now time.Time, t *target) {
+	var filling []*run
+	var serving []pace.Serving
+	for _, r := range t.runs {
+		if r.spec == nil || r.state != runRunning {
+			continue
+		}
+		if r.spec.TailTarget > 0 {
+			serving = append(serving, pace.Serving{Tail: r.tail, Objective: r.spec.TailTarget})
+		} else if r.spec.Fills {
+			filling = append(filling, r)
+		}
+	}
+	for _, r := range filling {
+		if now.Sub(r.paceSent) < paceInterval {
+			continue
+		}
+		share := pace.Share(r.pace, serving)
+		if share != r.pace || !r.paceAcked && r.pace != 100 {
+			r.pace, r.paceSent, r.paceAcked = share, now, false
+			p.orders = append(p.orders, PaceOrder{Target: t.ID, Task: r.key.task, Attempt: r.key.attempt, Percent: share})
+		}
+	}
+}
+
+// paceInterval is the time between two changes of one task's pace: the targets' figures cover half a second.
+const paceInterval = 600 * time.Millisecond
+
+// Paced takes the answer to a pace order.
+func (p *Pool) Paced(id work.TargetID, task work.TaskID, attempt work.Attempt, acked bool) {
+	if t := p.targets[id]; t != nil {
+		if r := t.runs[runKey{task, attempt}]; r != nil {
+			r.paceAcked = acked
+		}
+	}
+}
+
+// load sums up what the pool has to do.
+func (p *Pool) load(now time.Time) admit.Load {
+	l := admit.Load{Jobs: len(p.active)}
+	for _, j := range p.active {
+		if !j.spec.Lasting() {
+			_, total := p.remaining(j)
+			l.Backlog += total
+		}
+	}
+	for _, t := range p.targets {
+		if t.registered && !t.Draining && t.cordon == NoCordon && !t.unheard && t.life != 0 {
+			l.Capacity += float64(t.Room.CPU-t.lastingCPU()) / 1000
+		}
+	}
+	return l
+}
+
+// lastingCPU is the processor that tasks hold until their job is cancelled.
+func (t *target) lastingCPU() work.Millicores {
+	sum := work.Millicores(0)
+	for _, r := range t.runs {
+		if r.spec != nil && r.spec.Lasting {
+			sum += held(r.spec).CPU
+		}
+	}
+	return sum
+}
+
+func (p *Pool) demand(q work.Queue, spec *work.Spec) admit.Demand {
+	chain, total := p.chain(q.ID, spec, nil)
+	return admit.Demand{
+		Work: total, Chain: chain, Objective: p.objective(q, spec),
+		Lasting: spec.Lasting(), Scheduled: spec.Repeat > 0,
+	}
+}
--- /dev/null
+++ b/internal/place/place.go
@@ -0,0 +1,115 @@
+package place
+
+import (
+	"slices"
+
+	"github.com/toucanhatch/toucanhatch/internal/work"
+)
+
+// Candidate is a target that may be given a task.
+type Candidate struct {
+	ID       work.TargetID
+	Free     work.Resources
+	Room     work.Resources
+	Rack     string
+	Labels   []string
+	SameStep int  // tasks of the same step that it runs
+	Serving  int  // lasting tasks that it runs
+	Filling  int  // tasks that fill on it
+	Leaving  bool // due to be taken out of the pool soon
+	Suspect  bool // to be given one task at a time
+	Busy     bool // runs something
+}
+
+// Task is what has to be placed.
+type Task struct {
+	Need         work.Resources // room that it holds
+	Label        string
+	Rack         string // that holds its data, or that its gang runs on
+	RackOnly     bool   // other racks will not do
+	MaxPerTarget int
+	Lasting      bool
+	Fills        bool
+	Serves       bool // has a response time objective of its own
+	Avoid        work.TargetID
+}
+
+// Weights of the parts of a score; only their order of size matters. Each is
+// larger than the sum of those after it can become.
+const (
+	avoidCost   = 1000 // the target on which the task failed last
+	leavingCost = 100  // the task would have to move
+	remoteCost  = 40   // work away from the data takes a multiple of the time
+	spreadCost  = 30   // for each task of the same step, where tasks last
+	disturbCost = 20   // for each pair of a task that fills and one that serves
+	restCost    = 10   // for the share of the target that stays free
+)
+
+// Best returns the index of the best candidate, or -1 if none can take the task.
+func Best(candidates []Candidate, t Task) int {
+	best, bestScore := -1, 0.0
+	for i := range candidates {
+		c := &candidates[i]
+		if !Possible(c, t) {
+			continue
+		}
+		if s := score(c, t); best < 0 || s < bestScore {
+			best, bestScore = i, s
+		}
+	}
+	return best
+}
+
+// Possible reports whether the candidate may be given the task at all.
+func Possible(c *Candidate, t Task) bool {
+	switch {
+	case !t.Need.Fits(c.Free):
+		return false
+	case t.Label != "" && !slices.Contains(c.Labels, t.Label):
+		return false
+	case t.MaxPerTarget > 0 && c.SameStep >= t.MaxPerTarget:
+		return false
+	case t.RackOnly && c.Rack != t.Rack:
+		return false
+	case c.Suspect && c.Busy:
+		return false
+	}
+	return true
+}
+
+func score(c *Candidate, t Task) float64 {
+	s := 0.0
+	if c.ID == t.Avoid {
+		s += avoidCost
+	}
+	if c.Suspect {
+		s += avoidCost / 2
+	}
+	if c.Leaving {
+		s += leavingCost
+	}
+	if t.Rack != "" && c.Rack != t.Rack {
+		s += remoteCost
+	}
+	if t.Lasting {
+		s += spreadCost * float64(c.SameStep)
+	}
+	if t.Fills {
+		s += disturbCost * float64(c.Serving)
+	}
+	if t.Serves {
+		s += disturbCost * float64(c.Filling)
+	}
+	rest := share(c.Free.CPU-t.Need.CPU, c.Room.CPU) + share(work.Millicores(c.Free.Memory-t.Need.Memory), work.Millicores(c.Room.Memory))
+	if t.Lasting {
+		rest = 2 - rest
+	}
+	return s + restCost*rest/2
+}
+
+func share(part, whole work.Millicores) float64 {
+	if whole <= 0 {
+		return 0
+	}
+	return float64(part) / float64(whole)
+}
--- /dev/null
+++ b/internal/shard/shard.go
@@ -0,0 +1,421 @@
+package shard
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/toucanhatch/toucanhatch/internal/agent"
+	"github.com/toucanhatch/toucanhatch/internal/clock"
+	"github.com/toucanhatch/toucanhatch/internal/jobs"
+	"github.com/toucanhatch/toucanhatch/internal/plog"
+	"github.com/toucanhatch/toucanhatch/internal/work"
+	"github.com/toucanhatch/toucanhatch/pkg/ident"
+)
+
+// JobsTopic holds one record for each job.
+const JobsTopic plog.Topic = "jobs"
+
+// Errors of a shard.
+var (
+	// ErrNotOwner means that this process doesn't own the pool, or not any more.
+	ErrNotOwner = errors.New("this process does not own the pool")
+	// ErrUnknownOutcome means that a change may or may not become durable.
+	ErrUnknownOutcome = errors.New("it is not known whether the change is stored")
+	// ErrNotStored means that a change was not stored and will not be.
+	ErrNotStored = errors.New("the log is out of reach; nothing was stored")
+)
+
+const (
+	// tickPeriod is the resolution of everything that time brings.
+	tickPeriod = 100 * time.Millisecond
+	// mailboxSize lets agents deliver while the owner plans.
+	mailboxSize = 256
+	// maxStuck is how long a write may be without an answer before new submissions are refused at once.
+	maxStuck = 300 * time.Millisecond
+	// expirePeriod is how often finished jobs are looked through.
+	expirePeriod = 5 * time.Second
+	// closeTimeout bounds the last write of an owner that hands over.
+	closeTimeout = 500 * time.Millisecond
+	// leaseTime is given to targets with each request. It outlasts most cuts
+	// that the platform's pages list, and is within the longest lease that targets grant.
+	leaseTime = 5 * time.Second
+	// confirmTime is how long an owner gives orders without hearing from the log that it still is the owner.
+	confirmTime = 4 * time.Second
+)
+
+// Targets makes callers and knows the targets.
+type Targets interface {
+	// Caller returns the client of a target.
+	Caller(reg work.Registration) agent.Caller
+	// Snapshot returns the live targets of a pool.
+	Snapshot(pool ident.PoolID) []work.Registration
+}
+
+// Shard is the owner of one partition. Set its exported fields before Run.
+type Shard struct {
+	Partition plog.Partition
+	Parts     int // partitions of the topic
+	Epoch     plog.Epoch
+	Log       plog.Log
+	Targets   Targets
+	Adviser   agent.Adviser // nil where there is no advice service
+	Bounds    jobs.Bounds
+	Clock     clock.Clock
+	Logger    hclog.Logger
+	Events    func(jobs.Event)
+	// Queues returns the present configuration of the queues.
+	Queues func() []work.Queue
+	// WallOffset returns the difference between the wall clock and Clock.
+	WallOffset func() time.Duration
+	// Confirmed returns when the log last confirmed the ownership.
+	Confirmed func() time.Time
+	// WriteTime is told how long each write took.
+	WriteTime func(time.Duration)
+
+	mail    chan func(now time.Time)
+	ready   chan struct{} // closed when the state has been read
+	done    chan struct{}
+	ctx     context.Context
+	stop    context.CancelFunc
+	pools   map[ident.PoolID]*pool
+	write   *write
+	seq     int64
+	expires []plog.Record
+	expired time.Time
+	begun   time.Time
+	closing bool // write what has changed, then end
+}
+
+// pool is one pool with what surrounds its state machine.
+type pool struct {
+	*jobs.Pool
+	agents  map[work.TargetID]*agentHandle
+	waiters []waiter
+	durable jobs.Flush
+}
+
+type agentHandle struct {
+	*agent.Agent
+	reg    work.Registration
+	cancel context.CancelFunc
+}
+
+// waiter is a client's request that is answered once a write is confirmed.
+type waiter struct {
+	flush jobs.Flush
+	job   work.JobID
+	added bool // the request added the job, so that it may be withdrawn
+	reply chan error
+}
+
+// Init prepares the shard; it must be called before any other method.
+func (s *Shard) Init(ctx context.Context) {
+	s.ctx, s.stop = context.WithCancel(ctx)
+	s.mail = make(chan func(time.Time), mailboxSize)
+	s.ready, s.done = make(chan struct{}), make(chan struct{})
+	s.pools = map[ident.PoolID]*pool{}
+}
+
+// Stop ends the shard and waits until it no longer acts. What has changed is written first, if the log answers in time.
+func (s *Shard) Stop() {
+	t := s.Clock.AfterFunc(closeTimeout, s.stop)
+	defer t.Stop()
+	select {
+	case <-s.ready:
+		s.post(func(time.Time) { s.closing = true })
+	default:
+		s.stop()
+	}
+	<-s.done
+}
+
+// Ready is closed once the shard has read its state.
+func (s *Shard) Ready() <-chan struct{} { return s.ready }
+
+// Done is closed when the shard has ended, for example because it was fenced.
+func (s *Shard) Done() <-chan struct{} { return s.done }
+
+func (s *Shard) position() plog.TopicPartition {
+	return plog.TopicPartition{Topic: JobsTopic, Partition: s.Partition}
+}
+
+// Run takes the partition over and serves it until Stop, or until it is fenced.
+func (s *Shard) Run() {
+	defer close(s.done)
+	defer s.stop()
+	s.begun = s.Clock.Now()
+	records, err := s.takeOver()
+	if err != nil {
+		s.Logger.Info("takeover ended", "partition", s.Partition, "epoch", s.Epoch, "error", err)
+		return
+	}
+	now := s.Clock.Now()
+	for _, r := range records {
+		s.pool(r.Pool).Restore(now, r)
+	}
+	for _, q := range s.Queues() {
+		if PartitionOf(q.Pool, s.Parts) == s.Partition {
+			s.pool(q.Pool) // so that it hears of its targets before the first job comes
+		}
+	}
+	for _, p := range s.pools {
+		s.refresh(now, p)
+	}
+	s.Logger.Info("partition taken over", "partition", s.Partition, "epoch", s.Epoch, "jobs", len(records), "took", now.Sub(s.begun))
+	close(s.ready)
+	tick := s.Clock.Every(tickPeriod, func() { s.post(s.tick) })
+	defer tick.Stop()
+	s.settle(now)
+	for {
+		select {
+		case <-s.ctx.Done():
+			s.end()
+			return
+		case f := <-s.mail:
+			now := s.Clock.Now()
+			f(now)
+			s.drainMail(now)
+			s.settle(now)
+			if s.closing && s.write == nil {
+				s.stop()
+			}
+		}
+	}
+}
+
+func (s *Shard) drainMail(now time.Time) {
+	for range mailboxSize {
+		select {
+		case f := <-s.mail:
+			f(now)
+		default:
+			return
+		}
+	}
+}
+
+// post puts an event into the mailbox; false means that the shard has ended.
+func (s *Shard) post(f func(now time.Time)) bool {
+	select {
+	case s.mail <- f:
+		return true
+	case <-s.ctx.Done():
+		return false
+	}
+}
+
+// end fails what waits. Changes that were not stored may still become durable.
+func (s *Shard) end() {
+	for _, p := range s.pools {
+		for _, w := range p.waiters {
+			w.reply <- ErrUnknownOutcome
+		}
+		p.waiters = nil
+	}
+	s.Logger.Info("partition given up", "partition", s.Partition, "epoch", s.Epoch)
+}
+
+// pool returns the state of a pool of this partition, creating it if need be.
+func (s *Shard) pool(id ident.PoolID) *pool {
+	p := s.pools[id]
+	if p == nil {
+		p = &pool{Pool: jobs.NewPool(id), agents: map[work.TargetID]*agentHandle{}}
+		p.Fence = work.Fence(s.Epoch)
+		p.Bounds = s.Bounds
+		p.Events = s.Events
+		s.pools[id] = p
+	}
+	return p
+}
+
+// refresh brings a pool up to the configuration and the live list.
+func (s *Shard) refresh(now time.Time, p *pool) {
+	p.SetQueues(s.Queues())
+	p.SetWallOffset(s.WallOffset())
+	live := map[work.TargetID]bool{}
+	for _, reg := range s.Targets.Snapshot(p.ID) {
+		live[reg.ID] = true
+		p.Register(now, reg)
+		s.keepAgent(p, reg)
+	}
+	for id, h := range p.agents {
+		if !live[id] {
+			p.Unregister(id)
+			if !p.Holds(id) {
+				h.cancel()
+				delete(p.agents, id)
+			}
+		}
+	}
+	s.orphanedTargets(now, p, live)
+}
+
+// orphanedTargets settles what records say of targets that the live list doesn't name:
+// nobody can reach them, and their leases pass.
+func (s *Shard) orphanedTargets(now time.Time, p *pool, live map[work.TargetID]bool) {
+	if now.Before(s.inherited()) {
+		return
+	}
+	for _, id := range p.TargetIDs() {
+		if !live[id] && p.agents[id] == nil {
+			p.Lapsed(now, id)
+		}
+	}
+}
+
+// inherited is when all leases that a former owner gave have passed.
+func (s *Shard) inherited() time.Time {
+	const drift = 1.03 // targets' clocks may be 2% slow
+	return s.begun.Add(confirmTime + time.Duration(float64(leaseTime)*drift))
+}
+
+func (s *Shard) keepAgent(p *pool, reg work.Registration) {
+	h := p.agents[reg.ID]
+	if h != nil && h.reg.Addr == reg.Addr {
+		return
+	}
+	if h != nil {
+		h.cancel()
+	}
+	ctx, cancel := context.WithCancel(s.ctx)
+	a := agent.New(reg.ID)
+	a.Caller = s.Targets.Caller(reg)
+	a.Fence, a.Lease, a.Clock, a.Inherited = p.Fence, leaseTime, s.Clock, s.inherited()
+	if h != nil { // the former agent gave leases at the old address
+		a.Inherited = s.Clock.Now().Add(leaseTime + leaseTime/10)
+	}
+	a.Logger = s.Logger
+	a.Sink = &sink{shard: s, pool: p}
+	p.agents[reg.ID] = &agentHandle{Agent: a, reg: reg, cancel: cancel}
+	go a.Run(ctx)
+}
+
+// confirmed reports whether orders may be given.
+func (s *Shard) confirmed() bool { return s.Clock.Now().Sub(s.Confirmed()) < confirmTime }
+
+func (s *Shard) tick(now time.Time) {
+	for _, p := range s.pools {
+		s.refresh(now, p)
+		p.Tick(now)
+	}
+	if now.Sub(s.expired) > expirePeriod {
+		s.expired = now
+		for _, p := range s.pools {
+			for _, id := range p.Expire(now) {
+				s.expires = append(s.expires, plog.Record{Key: string(id)})
+			}
+		}
+	}
+}
+
+// settle plans, sends the orders and starts a write, after a batch of events.
+func (s *Shard) settle(now time.Time) {
+	if !s.closing {
+		for _, p := range s.pools {
+			p.Plan(now)
+		}
+	}
+	s.startWrite(now)
+	for _, p := range s.pools {
+		for _, o := range p.Orders() {
+			s.dispatch(p, o)
+		}
+		for id, h := range p.agents {
+			h.SetAcked(p.Acked(id))
+		}
+	}
+}
+
+func (s *Shard) dispatch(p *pool, o jobs.Order) {
+	var id work.TargetID
+	switch o := o.(type) {
+	case jobs.StartOrder:
+		id = o.Target
+	case jobs.StopOrder:
+		id = o.Target
+	case jobs.PaceOrder:
+		id = o.Target
+	case jobs.AdviseOrder:
+		s.advise(p, o)
+		return
+	}
+	if h := p.agents[id]; h != nil {
+		h.Send(s.ctx, o)
+	} else if start, ok := o.(jobs.StartOrder); ok {
+		p.Started(s.Clock.Now(), id, start.Task, start.Attempt, jobs.StartOtherTarget) // not sent
+	}
+}
+
+func (s *Shard) advise(p *pool, o jobs.AdviseOrder) {
+	if s.Adviser == nil {
+		s.Logger.Warn("a queue asks for advice, and the settings name no advice service", "job", o.Job)
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(s.ctx, adviceTimeout)
+		defer cancel()
+		granted, validity, err := s.Adviser.Advise(ctx, o)
+		if err != nil {
+			s.Logger.Info("no advice", "job", o.Job, "step", o.Step, "error", err)
+			granted = nil
+		}
+		s.post(func(now time.Time) { p.Advised(now, o, granted, validity) })
+	}()
+}
+
+// adviceTimeout bounds one call to the advice service, which handles the calls of a process in turn.
+const adviceTimeout = 2 * time.Second
+
+// sink brings an agent's findings into the mailbox.
+type sink struct {
+	shard *Shard
+	pool  *pool
+}
+
+func (k *sink) Listed(l work.List) (acked int64, pending bool) {
+	reply := make(chan int64, 1)
+	if !k.shard.post(func(now time.Time) {
+		k.pool.Listed(now, l)
+		reply <- k.pool.Acked(l.Target)
+	}) {
+		return 0, false
+	}
+	select {
+	case acked = <-reply:
+	case <-k.shard.ctx.Done():
+	}
+	last := int64(0)
+	for i := range l.Ended {
+		last = max(last, l.Ended[i].Seq)
+	}
+	return acked, last > acked
+}
+
+func (k *sink) Unheard(id work.TargetID) {
+	k.shard.post(func(time.Time) { k.pool.Unheard(id) })
+}
+
+func (k *sink) Lapsed(id work.TargetID) {
+	k.shard.post(func(now time.Time) { k.pool.Lapsed(now, id) })
+}
+
+func (k *sink) Started(o jobs.StartOrder, result jobs.StartResult) {
+	k.shard.post(func(now time.Time) { k.pool.Started(now, o.Target, o.Task, o.Attempt, result) })
+}
+
+func (k *sink) Stopped(o jobs.StopOrder, acked bool) {
+	k.shard.post(func(now time.Time) { k.pool.Stopped(now, o.Target, o.Task, o.Attempt, acked) })
+}
+
+func (k *sink) Paced(o jobs.PaceOrder, acked bool) {
+	k.shard.post(func(time.Time) { k.pool.Paced(o.Target, o.Task, o.Attempt, acked) })
+}
+
+func (k *sink) Fenced() {
+	k.shard.Logger.Warn("a target has seen a later owner", "partition", k.shard.Partition, "epoch", k.shard.Epoch)
+}
+
+func (k *sink) Confirmed() bool { return k.shard.confirmed() }
