Move VMs between pools and carry out waves; judge targets as a whole

Change: internal/sizer (lend, park), internal/upkeep (waves), internal/steer (rounds with durable intents); slowness judged over the tasks of a target; the wall time by which a lease lapses goes into the record; a VM's next life ends the former one.

--- a/cmd/toucanjobd/main.go
+++ b/cmd/toucanjobd/main.go
@@ -74,11 +74,15 @@
 		Log: log, Operator: platform.Operator, Targets: platform.Targets, Status: platform.Status,
 		ConfigKey: platform.ConfigKey, DecodeConfig: platform.DecodeConfig, DecodeTarget: platform.DecodeTarget,
 		NewCaller: func(id work.TargetID, addr string) agent.Caller { return platform.NewTarget(id, addr) },
-		Clients:   func(s *jobd.Service) http.Handler { return &platform.Ingress{Jobs: s} },
+		IsWave:    platform.IsWave, DecodeWave: platform.DecodeWave, EncodeWaveStatus: platform.EncodeWaveStatus,
+		Clients: func(s *jobd.Service) http.Handler { return &platform.Ingress{Jobs: s} },
 	}
 	if s.Advice != "" {
 		p.Adviser = platform.NewAdvice(s.Advice)
 	}
+	if s.Machines != "" {
+		p.Cloud = platform.NewCloud(s.Machines, string(s.Entry))
+	}
 	d := &jobd.Daemon{Settings: s, Platform: p, Logger: logger, Clock: clock.Suspending()}
 	return d.Run(ctx)
 }
--- a/internal/direct/direct.go
+++ b/internal/direct/direct.go
@@ -29,9 +29,16 @@
 
 	mu      sync.Mutex
 	entries map[work.TargetID]*entry
+	lives   map[work.MachineID]life
 	broken  map[string]bool
 }
 
+// life is the newest target that a VM was seen to run.
+type life struct {
+	target work.TargetID
+	born   int64
+}
+
 type entry struct {
 	reg     work.Registration
 	removed time.Time
@@ -64,7 +71,7 @@
 // put stores an entry and reports whether it names a target.
 func (d *Directory) put(r plog.Record) bool {
 	if d.entries == nil {
-		d.entries, d.broken = map[work.TargetID]*entry{}, map[string]bool{}
+		d.entries, d.broken, d.lives = map[work.TargetID]*entry{}, map[string]bool{}, map[work.MachineID]life{}
 	}
 	id := work.TargetID(r.Key)
 	if len(r.Value) == 0 {
@@ -87,9 +94,12 @@
 	delete(d.broken, r.Key)
 	old := d.entries[id]
 	if old == nil || old.reg.Draining != reg.Draining || old.reg.Born != reg.Born || old.reg.Pool != reg.Pool {
-		d.Logger.Info("target registered", "target", id, "pool", reg.Pool, "draining", reg.Draining, "born", reg.Born, "address", reg.Addr)
+		d.Logger.Info("target registered", "target", id, "pool", reg.Pool, "draining", reg.Draining, "born", reg.Born, "address", reg.Addr, "machine", reg.Machine)
 	}
 	d.entries[id] = &entry{reg: reg}
+	if reg.Machine != "" && reg.Born >= d.lives[reg.Machine].born {
+		d.lives[reg.Machine] = life{id, reg.Born}
+	}
 	return true
 }
 
@@ -100,6 +110,14 @@
 	}
 }
 
+// Life returns the target that a VM runs, by the newest entry that was seen.
+func (d *Directory) Life(m work.MachineID) (work.TargetID, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	l, ok := d.lives[m]
+	return l.target, ok
+}
+
 // Snapshot returns the live targets of a pool in the order of their ids.
 func (d *Directory) Snapshot(pool ident.PoolID) []work.Registration {
 	d.mu.Lock()
--- a/internal/jobd/daemon.go
+++ b/internal/jobd/daemon.go
@@ -23,6 +23,8 @@
 	"github.com/toucanhatch/toucanhatch/internal/plog"
 	"github.com/toucanhatch/toucanhatch/internal/route"
 	"github.com/toucanhatch/toucanhatch/internal/shard"
+	"github.com/toucanhatch/toucanhatch/internal/steer"
+	"github.com/toucanhatch/toucanhatch/internal/upkeep"
 	"github.com/toucanhatch/toucanhatch/internal/watch"
 	"github.com/toucanhatch/toucanhatch/internal/work"
 	"github.com/toucanhatch/toucanhatch/pkg/ident"
@@ -39,6 +41,10 @@
 	DecodeTarget              func(string, []byte) (work.Registration, error)
 	NewCaller                 func(work.TargetID, string) agent.Caller
 	Adviser                   agent.Adviser // nil where there is none
+	Cloud                     upkeep.Cloud  // nil where VMs can't be moved
+	IsWave                    func(key string) bool
+	DecodeWave                func([]byte) (work.Wave, error)
+	EncodeWaveStatus          func(wave int64, completed bool) (plog.Record, error)
 	// Clients makes the handler of clients' requests.
 	Clients func(*Service) http.Handler
 }
@@ -222,6 +228,15 @@
 
 func (d *Daemon) watchConfig() *watch.Watch {
 	apply := func(r plog.Record) {
+		if d.Platform.IsWave(r.Key) && len(r.Value) > 0 {
+			w, err := d.Platform.DecodeWave(r.Value)
+			if err != nil {
+				d.Logger.Error("a wave can't be read", "key", r.Key, "error", err)
+				return
+			}
+			d.service.setWave(w)
+			return
+		}
 		if r.Key != d.Platform.ConfigKey || len(r.Value) == 0 {
 			return
 		}
@@ -264,9 +279,34 @@
 	}
 	s.Init(d.ctx)
 	go s.Run()
+	if p.Partition == steeringPartition && d.Platform.Cloud != nil {
+		go d.steer(s, epoch)
+	}
 	return s
 }
 
+// steeringPartition is the partition whose owner moves VMs and carries out waves.
+const steeringPartition = 0
+
+// steer moves VMs until the owner of the partition ends.
+func (d *Daemon) steer(owner *shard.Shard, epoch plog.Epoch) {
+	ctx, cancel := context.WithCancel(d.ctx)
+	defer cancel()
+	go func() {
+		select {
+		case <-owner.Ending():
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	st := &steer.Steer{
+		Cloud: d.Platform.Cloud, Pools: d.service, Log: d.Platform.Log, Token: work.Fence(epoch), Epoch: epoch,
+		Status: d.Platform.Status, EncodeStatus: d.Platform.EncodeWaveStatus, Lease: d.Settings.Bounds.MachineLease.Duration,
+		UpkeepTime: d.Settings.Bounds.Upkeep.Duration, Confirmed: owner.MayOrder, Clock: d.Clock, Logger: d.Logger,
+	}
+	st.Run(ctx)
+}
+
 func (d *Daemon) queues() []work.Queue {
 	if t := d.service.routes.Load(); t != nil {
 		return t.Queues
@@ -302,6 +342,9 @@
 	return t.d.Platform.NewCaller(reg.ID, reg.Addr)
 }
 
+// Life implements shard.Targets.
+func (t targets) Life(m work.MachineID) (work.TargetID, bool) { return t.d.direct.Life(m) }
+
 // Snapshot implements shard.Targets.
 func (t targets) Snapshot(pool ident.PoolID) []work.Registration { return t.d.direct.Snapshot(pool) }
 
--- a/internal/jobd/service.go
+++ b/internal/jobd/service.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -10,10 +12,12 @@
 
 	"github.com/toucanhatch/toucanhatch/internal/clock"
 	"github.com/toucanhatch/toucanhatch/internal/group"
+	"github.com/toucanhatch/toucanhatch/internal/jobs"
 	"github.com/toucanhatch/toucanhatch/internal/link"
 	"github.com/toucanhatch/toucanhatch/internal/plog"
 	"github.com/toucanhatch/toucanhatch/internal/route"
 	"github.com/toucanhatch/toucanhatch/internal/shard"
+	"github.com/toucanhatch/toucanhatch/internal/sizer"
 	"github.com/toucanhatch/toucanhatch/internal/work"
 	"github.com/toucanhatch/toucanhatch/pkg/ident"
 )
@@ -50,6 +54,9 @@
 	Logger hclog.Logger
 
 	routes atomic.Pointer[route.Table]
+
+	wavesMu sync.Mutex
+	waves   []work.Wave
 }
 
 // The methods between the processes.
@@ -59,6 +66,7 @@
 	methodState   link.Method = "state"
 	methodPending link.Method = "pending"
 	methodRejoin  link.Method = "rejoin"
+	methodReport  link.Method = "report"
 )
 
 // outcome is how a request ended at the pool's owner.
@@ -77,6 +85,8 @@
 	Job   work.JobID `cbor:"1,keyasint"`
 	Queue work.Queue `cbor:"2,keyasint"`
 	Spec  *work.Spec `cbor:"3,keyasint,omitempty"`
+	// Cordons are set with a report.
+	Cordons map[work.TargetID]jobs.CordonReason `cbor:"4,keyasint,omitempty"`
 }
 
 type reply struct {
@@ -84,6 +94,7 @@
 	State      work.State    `cbor:"2,keyasint,omitempty"`
 	Pending    int           `cbor:"3,keyasint,omitempty"`
 	RetryAfter time.Duration `cbor:"4,keyasint,omitempty"`
+	Report     *sizer.Pool   `cbor:"5,keyasint,omitempty"`
 }
 
 // Handle answers the requests of other processes.
@@ -115,6 +126,10 @@
 		r.State, known, err = sh.State(ctx, a.Queue.Pool, a.Job)
 	case methodPending:
 		r.Pending, err = sh.Pending(ctx, a.Queue.Pool, a.Queue.ID)
+	case methodReport:
+		var report sizer.Pool
+		report, err = sh.Report(ctx, a.Queue.Pool, a.Cordons)
+		r.Report = &report
 	}
 	var refused *shard.RefusedError
 	switch {
@@ -182,6 +197,44 @@
 	return reply{Outcome: outcomeUnsure}
 }
 
+// Report implements steer.Pools.
+func (s *Service) Report(ctx context.Context, pool ident.PoolID, cordons map[work.TargetID]jobs.CordonReason) (sizer.Pool, error) {
+	r := s.attempt(ctx, methodReport, ask{Queue: work.Queue{Pool: pool}, Cordons: cordons}, s.position(pool))
+	if r.Outcome != outcomeOK || r.Report == nil {
+		s.Owners.Hint()
+		return sizer.Pool{}, errors.Newf("pool %q: %s", pool, r.Outcome)
+	}
+	return *r.Report, nil
+}
+
+// Configured implements steer.Pools.
+func (s *Service) Configured() []work.PoolConfig {
+	if t := s.routes.Load(); t != nil {
+		return t.Pools
+	}
+	return nil
+}
+
+// Waves implements steer.Pools.
+func (s *Service) Waves() []work.Wave {
+	s.wavesMu.Lock()
+	defer s.wavesMu.Unlock()
+	return slices.Clone(s.waves)
+}
+
+// setWave takes a new or changed wave.
+func (s *Service) setWave(w work.Wave) {
+	s.wavesMu.Lock()
+	defer s.wavesMu.Unlock()
+	i := slices.IndexFunc(s.waves, func(x work.Wave) bool { return x.ID == w.ID })
+	if i < 0 {
+		s.waves = append(s.waves, w)
+		s.Logger.Info("wave asked for", "wave", w.ID, "machines", len(w.Machines), "within", w.Within, "at_once", w.AtOnce)
+		return
+	}
+	s.waves[i] = w
+}
+
 // find returns the queue that a request is for, and the rest of its path.
 func (s *Service) find(host, path string) (work.Queue, string, error) {
 	t := s.routes.Load()
--- a/internal/jobs/job.go
+++ b/internal/jobs/job.go
@@ -151,7 +151,7 @@
 		Failures: t.failures, LastFailed: t.lastFailed, Checkpoint: t.checkpoint,
 	}
 	if t.run != nil {
-		tr.Target, tr.Born = t.run.target.ID, t.run.born
+		tr.Target, tr.Born, tr.Machine, tr.LapseBy = t.run.target.ID, t.run.born, t.run.machine, t.run.lapseBy
 	}
 	return tr
 }
@@ -190,7 +190,15 @@
 			continue
 		}
 		run := &run{key: runKey{id, tr.Attempt}, job: j, task: t, step: st, spec: &spec.Steps[tr.Step], born: tr.Born, state: runUnsettled, foreign: true, pace: 100, checkpoint: tr.Checkpoint}
+		run.machine, run.lapseBy = tr.Machine, tr.LapseBy
 		p.attach(run, p.known(tr.Target))
+		if run.lapseBy.IsZero() {
+			run.lapseBy = p.wall(now).Add(p.Bounds.Inherit)
+			p.touch(j)
+		}
+		if run.target.Machine == "" {
+			run.target.Machine = tr.Machine
+		}
 		if j.over() {
 			p.stop(now, run, "the job is over")
 		}
--- a/internal/jobs/learn.go
+++ b/internal/jobs/learn.go
@@ -28,13 +28,14 @@
 
 // learn compares the run time of a task with its estimate.
 func (p *Pool) learn(now time.Time, j *job, r *run, row *work.EndRow) {
-	if r == nil || r.startedAt.IsZero() || r.task == nil || r.spec.Estimate <= 0 || r.task.checkpoint != "" {
+	if r == nil || r.startedAt.IsZero() || r.task == nil || r.spec.Estimate <= 0 || r.resumed {
 		return
 	}
 	took := now.Sub(r.startedAt)
 	if r.spec.Rack != "" && r.spec.Rack != r.target.Rack && p.Bounds.RemoteCost > 0 {
 		took = time.Duration(float64(took) / p.Bounds.RemoteCost)
 	}
+	r.target.verdict.Progress(float64(took) / float64(p.expected(j.queue, r.spec)))
 	sample := min(max(float64(took)/float64(r.spec.Estimate), minRatio), maxRatio)
 	l := p.learned[j.queue]
 	if l == nil {
--- a/internal/jobs/plan.go
+++ b/internal/jobs/plan.go
@@ -262,7 +262,8 @@
 	id := work.TaskID{Job: j.id, Occurrence: occurrence, Step: step, Index: index}
 	r := &run{
 		key: runKey{id, tk.attempt}, job: j, task: tk, step: st, spec: &j.spec.Steps[step], born: t.life,
-		state: runPlanned, flush: p.next, pace: 100, checkpoint: tk.checkpoint, ticket: ticket,
+		state: runPlanned, flush: p.next, pace: 100, checkpoint: tk.checkpoint, resumed: tk.checkpoint != "", ticket: ticket,
+		machine: t.Machine,
 	}
 	p.attach(r, t)
 	p.held = append(p.held, r)
--- a/internal/jobs/pool.go
+++ b/internal/jobs/pool.go
@@ -34,6 +34,7 @@
 	learned    map[work.QueueID]*ratio
 	advice     map[stepKey]*tickets
 	replan     bool
+	arrival    arrival
 }
 
 // Bounds are the limits of the platform that the pool has to respect.
@@ -44,6 +45,8 @@
 	Notice      time.Duration // a lasting task that is away for longer counts as unavailable
 	Disruption  time.Duration // how long a serving task may miss its objective because of tasks that fill
 	GangWait    time.Duration // how long the members of a gang wait for each other
+	Inherit     time.Duration // after a takeover, until all leases of the former owner have passed
+	Lease       time.Duration // the longest lease that is given
 	Retention   time.Duration // how long a finished job is still shown
 }
 
@@ -88,7 +91,9 @@
 // Submit takes in a job that is not [Pool.Known].
 func (p *Pool) Submit(now time.Time, id work.JobID, queue work.Queue, spec *work.Spec) Submission {
 	p.learnQueue(queue)
-	verdict := admit.Decide(p.load(now), p.demand(queue, spec))
+	demand := p.demand(queue, spec)
+	p.arrival.add(now, id, demand)
+	verdict := admit.Decide(p.load(now), demand)
 	if !verdict.Admit {
 		p.event(Event{Kind: EventRefused, Job: id, Queue: queue.ID, Detail: verdict.Reason, Delay: verdict.RetryAfter})
 		return Submission{Refused: true, RetryAfter: verdict.RetryAfter}
--- a/internal/jobs/record.go
+++ b/internal/jobs/record.go
@@ -37,6 +37,8 @@
 	Checkpoint string
 	Target     work.TargetID // where the task may be running; empty if nowhere
 	Born       int64
+	Machine    work.MachineID
+	LapseBy    time.Time // wall time by which its lease has passed, if the owner couldn't reach the target
 }
 
 // recordModes is the codec of records; times are kept as nanoseconds.
--- /dev/null
+++ b/internal/jobs/report.go
@@ -0,0 +1,135 @@
+package jobs
+
+import (
+	"math"
+	"time"
+
+	"github.com/toucanhatch/toucanhatch/internal/admit"
+	"github.com/toucanhatch/toucanhatch/internal/sizer"
+	"github.com/toucanhatch/toucanhatch/internal/work"
+)
+
+// arrival tracks how much work a pool's clients hand in, whether it is admitted or not.
+type arrival struct {
+	rate float64 // cores
+	at   time.Time
+	// refused jobs come again under the same id; they count once.
+	seen map[work.JobID]time.Time
+}
+
+const (
+	// arrivalWindow smooths the rate; demand turns within some seconds.
+	arrivalWindow = 1500 * time.Millisecond
+	// seenFor is longer than clients go on trying.
+	seenFor = 15 * time.Second
+	maxSeen = 4096
+)
+
+func (a *arrival) decay(now time.Time) {
+	if !a.at.IsZero() {
+		a.rate *= math.Exp(-float64(now.Sub(a.at)) / float64(arrivalWindow))
+	}
+	a.at = now
+}
+
+func (a *arrival) add(now time.Time, id work.JobID, d admit.Demand) {
+	if d.Lasting || d.Scheduled {
+		return
+	}
+	if a.seen == nil {
+		a.seen = map[work.JobID]time.Time{}
+	}
+	if _, again := a.seen[id]; again {
+		return
+	}
+	if len(a.seen) >= maxSeen {
+		clear(a.seen)
+	}
+	a.seen[id] = now
+	a.decay(now)
+	a.rate += float64(d.Work) / float64(arrivalWindow)
+}
+
+func (a *arrival) forget(now time.Time) {
+	for id, at := range a.seen {
+		if now.Sub(at) > seenFor {
+			delete(a.seen, id)
+		}
+	}
+}
+
+// Report sums up the pool for whoever sizes the pools and carries out upkeep.
+// The cordons replace those that were set before.
+func (p *Pool) Report(now time.Time, cordons map[work.TargetID]CordonReason) sizer.Pool {
+	p.arrival.decay(now)
+	p.arrival.forget(now)
+	out := sizer.Pool{ID: p.ID, Arrival: work.Millicores(1000 * p.arrival.rate)}
+	for _, t := range p.targets {
+		p.Cordon(t.ID, cordons[t.ID])
+		if !t.registered {
+			continue
+		}
+		if len(t.runs) > 0 {
+			t.idleSince = time.Time{}
+		} else if t.idleSince.IsZero() {
+			t.idleSince = now
+		}
+		s := sizer.Target{
+			ID: t.ID, Machine: t.Machine, Zone: t.Zone, Room: t.Room, Runs: len(t.runs), Draining: t.Draining,
+			Usable: !t.unheard && t.life != 0, Cordoned: t.cordon != NoCordon,
+		}
+		if !t.idleSince.IsZero() {
+			s.IdleFor = now.Sub(t.idleSince)
+		}
+		for _, r := range t.runs {
+			if r.spec == nil {
+				continue
+			}
+			if r.spec.Lasting {
+				s.Lasting++
+				out.Lasting += held(r.spec).CPU
+			} else {
+				out.Running += held(r.spec).CPU
+			}
+		}
+		out.Targets = append(out.Targets, s)
+	}
+	for _, j := range p.active {
+		for _, o := range j.occurrences {
+			for i := range o.steps {
+				if st := &o.steps[i]; st.blockers == 0 && st.waiting > 0 {
+					out.Runnable += work.Millicores(st.waiting) * held(&j.spec.Steps[i]).CPU
+				}
+			}
+		}
+	}
+	return out
+}
+
+// vacate moves lasting tasks off a cordoned target, as far as their steps' budgets allow.
+func (p *Pool) vacate(now time.Time, t *target) {
+	for _, r := range t.runs {
+		if r.spec == nil || !r.spec.Lasting || r.state != runRunning || r.step == nil {
+			continue
+		}
+		if r.spec.MissBudget > 0 && p.away(r) >= r.spec.MissBudget {
+			continue
+		}
+		p.stop(now, r, "the target is cordoned: "+string(t.cordon))
+	}
+}
+
+// away counts the tasks of a run's step, besides its own, that are not at work.
+func (p *Pool) away(r *run) int {
+	n := 0
+	for i := range r.step.tasks {
+		other := r.step.tasks[i].run
+		if other == r {
+			continue
+		}
+		if other == nil || other.state != runRunning || other.percent < 100 {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/jobs/run.go
+++ b/internal/jobs/run.go
@@ -37,6 +37,10 @@
 	target  *target
 	born    int64 // life of the target that it was planned for
 	state   runState
+	resumed bool // from a checkpoint
+	machine work.MachineID
+	// lapseBy is the wall time by which the leases of a former owner have passed.
+	lapseBy time.Time
 	foreign bool  // planned by a former owner, whose orders our fence stops
 	flush   Flush // the write that makes it durable
 	// since is when the state became conclusive: a list that was requested
@@ -110,6 +114,9 @@
 
 // detach frees the room of a run and makes its task wait again unless it is done.
 func (p *Pool) detach(r *run) {
+	if r.state == runPlanned {
+		r.state = runStopping // its order never leaves
+	}
 	delete(r.target.runs, r.key)
 	if r.spec != nil {
 		r.target.used = r.target.used.Minus(held(r.spec))
@@ -124,10 +131,7 @@
 }
 
 // drop ends a run that was never sent to its target.
-func (p *Pool) drop(r *run) {
-	p.detach(r)
-	r.state = runStopping // Durable skips it
-}
+func (p *Pool) drop(r *run) { p.detach(r) }
 
 // order sends the start of a run whose record is durable.
 func (p *Pool) order(now time.Time, r *run) {
@@ -185,6 +189,10 @@
 
 func (p *Pool) confirm(now time.Time, r *run) {
 	r.state, r.since = runRunning, now
+	if !r.lapseBy.IsZero() { // a successor must wait for the lease that we give
+		r.lapseBy = time.Time{}
+		p.touch(r.job)
+	}
 	if r.startedAt.IsZero() {
 		r.startedAt, r.advancedAt = now, now
 	}
--- a/internal/jobs/target.go
+++ b/internal/jobs/target.go
@@ -19,6 +19,7 @@
 	used       work.Resources
 	runs       map[runKey]*run
 	cordon     CordonReason
+	idleSince  time.Time
 	shunned    time.Time // no starts before
 	endSeq     int64     // highest end that was taken in
 	acks       []ackMark
@@ -119,6 +120,13 @@
 	}
 }
 
+// Uncordon ends all cordons.
+func (p *Pool) Uncordon() {
+	for id := range p.targets {
+		p.Cordon(id, NoCordon)
+	}
+}
+
 // Acked returns up to which end the target's list may be acknowledged.
 func (p *Pool) Acked(id work.TargetID) int64 {
 	if t := p.targets[id]; t != nil {
@@ -221,6 +229,7 @@
 	if row.Percent > r.percent || r.advancedAt.IsZero() {
 		r.advancedAt = now
 	}
+	p.judgeProgress(now, t, r, row.Percent)
 	r.percent, r.tail, r.used = row.Percent, row.Tail, row.CPU
 	if row.Checkpoint != "" {
 		r.checkpoint = row.Checkpoint
@@ -228,6 +237,20 @@
 	r.seenAt(now)
 }
 
+// judgeProgress compares the speed of a run with what is expected of it.
+func (p *Pool) judgeProgress(now time.Time, t *target, r *run, percent int) {
+	if r.task == nil || r.spec.Lasting || r.spec.Estimate <= 0 || percent <= 0 || percent >= 100 || r.pace < 100 || r.resumed {
+		return
+	}
+	if ran := now.Sub(r.startedAt); ran >= minJudged {
+		whole := ran * 100 / time.Duration(percent)
+		t.verdict.Progress(float64(whole) / float64(p.expectedOn(t, r)))
+	}
+}
+
+// minJudged is how long a run must have been going for its percentage to say something.
+const minJudged = 400 * time.Millisecond
+
 // seenAt tracks since when a lasting task hasn't been at work.
 func (r *run) seenAt(now time.Time) {
 	if r.task == nil || r.spec == nil || !r.spec.Lasting {
@@ -243,7 +266,7 @@
 // adopt takes over a run that the pool did not plan: one of a former owner, or
 // a late start. A run that is not wanted is stopped.
 func (p *Pool) adopt(now time.Time, t *target, key runKey) *run {
-	r := &run{key: key, born: t.life, state: runRunning, since: now, startedAt: now, advancedAt: now, pace: 100}
+	r := &run{key: key, born: t.life, machine: t.Machine, state: runRunning, since: now, startedAt: now, advancedAt: now, pace: 100, resumed: true}
 	j := p.jobs[key.task.Job]
 	why := "the job is not known"
 	if j != nil {
@@ -293,7 +316,7 @@
 				p.stop(now, r, "a start without an answer did not take effect")
 			}
 		case runStopping:
-			if r.stopAcked {
+			if r.stopAcked && l.Sent.After(r.since.Add(p.Bounds.StopTimeout)) { // until then it may still end, holding its room
 				p.lost(now, r, "stopped")
 			}
 		}
--- a/internal/jobs/tick.go
+++ b/internal/jobs/tick.go
@@ -1,6 +1,7 @@
 package jobs
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/toucanhatch/toucanhatch/internal/admit"
@@ -40,6 +41,9 @@
 }
 
 func (p *Pool) tickTarget(now time.Time, t *target) {
+	if t.life == 0 {
+		p.lapseForeign(now, t)
+	}
 	if t.unheard {
 		return
 	}
@@ -53,27 +57,81 @@
 			p.checkStall(now, t, r)
 		}
 	}
+	if t.cordon != NoCordon {
+		p.vacate(now, t)
+	}
 	p.setPace(now, t)
 }
 
+// lapseForeign ends the runs of former owners on a target that has not been heard, once their leases have passed.
+func (p *Pool) lapseForeign(now time.Time, t *target) {
+	for _, r := range t.runs {
+		if r.foreign && !r.lapseBy.IsZero() && p.wall(now).After(r.lapseBy) {
+			p.lost(now, r, "the lease of a former owner has passed")
+		}
+	}
+}
+
+// Close notes, for a successor, by when the leases of targets that don't answer will have passed.
+func (p *Pool) Close(now time.Time) {
+	for _, t := range p.targets {
+		if !t.unheard {
+			continue
+		}
+		for _, r := range t.runs {
+			if r.job != nil && r.lapseBy.IsZero() {
+				r.lapseBy = p.wall(now).Add(p.Bounds.Lease)
+				p.touch(r.job)
+			}
+		}
+	}
+}
+
+// Replaced notes that the VM of a target runs another one now, so that whatever the target ran has ended.
+func (p *Pool) Replaced(now time.Time, id work.TargetID) {
+	if t := p.targets[id]; t != nil && len(t.runs) > 0 {
+		for _, r := range t.runs {
+			p.lost(now, r, "the VM has another life")
+		}
+		t.life = 0
+	}
+}
+
+// Machine returns the VM of a target that may still run something; empty if it is not known.
+func (p *Pool) Machine(id work.TargetID) work.MachineID {
+	if t := p.targets[id]; t != nil && len(t.runs) > 0 {
+		return t.Machine
+	}
+	return ""
+}
+
 // checkStall restarts a task elsewhere that makes no progress while its target answers.
 func (p *Pool) checkStall(now time.Time, t *target, r *run) {
-	if r.task == nil || r.spec.Lasting || r.spec.Gang || r.spec.Estimate <= 0 || now.Sub(t.heard) > time.Second {
+	if r.task == nil || r.spec.Lasting || r.spec.Gang || r.spec.Estimate <= 0 || r.pace < 100 {
 		return
 	}
-	expected := p.expected(r.job.queue, r.spec)
-	if r.spec.Rack != "" && r.spec.Rack != t.Rack {
-		expected = time.Duration(float64(expected) * max(1, p.Bounds.RemoteCost))
-	}
-	if !judge.Stall(expected, now.Sub(r.startedAt), now.Sub(r.advancedAt), r.percent) {
+	expected := p.expectedOn(t, r)
+	switch {
+	case judge.StandsStill(t.heard.Sub(r.advancedAt)):
+		t.verdict.Stalled(now)
+	case !r.resumed && t.verdict.Slow() && judge.WorthMoving(expected, t.heard.Sub(r.startedAt), r.percent):
+	default:
 		return
 	}
-	t.verdict.Stalled(now)
-	p.event(Event{Kind: EventSuspect, Job: r.job.id, Task: r.key.task, Attempt: r.key.attempt, Target: t.ID, Detail: "a task makes too little progress"})
+	p.event(Event{Kind: EventSuspect, Job: r.job.id, Task: r.key.task, Attempt: r.key.attempt, Target: t.ID, Detail: fmt.Sprintf("too little progress: %d%% after %v, idle for %v, expected %v", r.percent, t.heard.Sub(r.startedAt), t.heard.Sub(r.advancedAt), expected)})
 	r.task.avoid = t.ID
 	p.stop(now, r, "too little progress")
 }
 
+// expectedOn returns how long a run is likely to take on a target that is well.
+func (p *Pool) expectedOn(t *target, r *run) time.Duration {
+	expected := p.expected(r.job.queue, r.spec)
+	if r.spec.Rack != "" && r.spec.Rack != t.Rack {
+		expected = time.Duration(float64(expected) * max(1, p.Bounds.RemoteCost))
+	}
+	return expected
+}
+
 // setPace adjusts the tasks that fill to what the serving tasks beside them need.
 func (p *Pool) setPace(now time.Time, t *target) {
 	var filling []*run
--- a/internal/judge/judge.go
+++ b/internal/judge/judge.go
@@ -15,11 +15,23 @@
 	failures int // since the last success
 	lastBad  time.Time
 	stalled  time.Time // when a task was seen to stand still
+	slowness float64   // how many times their expected time tasks take here
+	samples  int
 }
 
 // Done notes a task that was completed.
 func (v *Verdict) Done(time.Time) { v.failures, v.stalled = 0, time.Time{} }
 
+// Progress notes how many times its expected time a task takes, judged by its progress or its end.
+func (v *Verdict) Progress(ratio float64) {
+	v.samples++
+	weight := max(slownessWeight, 1/float64(v.samples))
+	v.slowness += weight * (min(ratio, maxSlowness) - v.slowness)
+}
+
+// Slow reports whether the target takes far longer than is usual for its tasks.
+func (v *Verdict) Slow() bool { return v.samples >= slowSamples && v.slowness > slowFactor }
+
 // Failed notes a task that failed.
 func (v *Verdict) Failed(now time.Time) { v.failures++; v.lastBad = now }
 
@@ -34,31 +46,31 @@
 	if v.lastBad.IsZero() || now.Sub(v.lastBad) > memory {
 		return false
 	}
-	return v.failures >= suspectFailures || !v.stalled.IsZero()
+	return v.failures >= suspectFailures || !v.stalled.IsZero() || v.Slow()
 }
 
-// Stall judges the progress of a task: a task that is expected to take
-// expected, has run for ran and stands at percent since idle.
-func Stall(expected, ran, idle time.Duration, percent int) bool {
-	if ran < minRun {
-		return false
-	}
-	if percent == 0 {
-		return ran > max(minIdle, expected/2)
-	}
-	if idle > max(minIdle, expected/3) {
-		return true // stands still
+// StandsStill reports whether a task whose progress has not risen for idle has stopped working.
+func StandsStill(idle time.Duration) bool { return idle > maxIdle }
+
+// WorthMoving reports whether a task that has done percent in ran is finished
+// sooner by a new start elsewhere, where it is expected to take expected.
+func WorthMoving(expected, ran time.Duration, percent int) bool {
+	if percent <= 0 {
+		return ran > 2*expected
 	}
-	whole := ran * 100 / time.Duration(percent)
-	return whole > slowFactor*max(expected, minExpected) && percent < slowPercent
+	left := ran * time.Duration(100-percent) / time.Duration(percent)
+	return float64(left) > moveGain*float64(expected)
 }
 
 const (
-	minRun      = 700 * time.Millisecond
-	minIdle     = 1500 * time.Millisecond // lists come at least each second
-	minExpected = 500 * time.Millisecond
-	// slowFactor is how many times its expected time a task may take before a
-	// restart elsewhere is the faster way; estimates are off by half as a rule.
-	slowFactor  = 4
-	slowPercent = 60
+	// maxIdle is longer than the time between two lists.
+	maxIdle = 1500 * time.Millisecond
+	// slowFactor is well above the spread of estimates, which are off by half as a rule.
+	slowFactor = 3
+	// slowSamples keeps a few tasks with poor estimates from condemning a target.
+	slowSamples    = 5
+	slownessWeight = 0.15
+	maxSlowness    = 10
+	// moveGain is how many times longer the rest here must be than the whole elsewhere.
+	moveGain = 1.5
 )
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -101,9 +101,6 @@
 		s += disturbCost * float64(c.Filling)
 	}
 	rest := share(c.Free.CPU-t.Need.CPU, c.Room.CPU) + share(work.Millicores(c.Free.Memory-t.Need.Memory), work.Millicores(c.Room.Memory))
-	if t.Lasting {
-		rest = 2 - rest
-	}
 	return s + restCost*rest/2
 }
 
--- a/internal/shard/calls.go
+++ b/internal/shard/calls.go
@@ -6,7 +6,9 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/toucanhatch/toucanhatch/internal/jobs"
 	"github.com/toucanhatch/toucanhatch/internal/plog"
+	"github.com/toucanhatch/toucanhatch/internal/sizer"
 	"github.com/toucanhatch/toucanhatch/internal/work"
 	"github.com/toucanhatch/toucanhatch/pkg/ident"
 )
@@ -85,6 +87,18 @@
 	return n, err
 }
 
+// Report sets the cordons of a pool and returns its state.
+func (s *Shard) Report(ctx context.Context, pool ident.PoolID, cordons map[work.TargetID]jobs.CordonReason) (r sizer.Pool, err error) {
+	reply := make(chan error, 1)
+	err = s.wait(ctx, reply, func(now time.Time) {
+		p := s.pool(pool)
+		p.cordoned = now
+		r = p.Report(now, cordons)
+		reply <- nil
+	})
+	return r, err
+}
+
 func (s *Shard) whenDurable(p *pool, w waiter) {
 	if w.flush <= p.durable {
 		w.reply <- nil
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -37,6 +37,8 @@
 	maxStuck = 300 * time.Millisecond
 	// expirePeriod is how often finished jobs are looked through.
 	expirePeriod = 5 * time.Second
+	// cordonTime is how long cordons hold without being set again; whoever steers sets them each 200 ms.
+	cordonTime = 2 * time.Second
 	// closeTimeout bounds the last write of an owner that hands over.
 	closeTimeout = 500 * time.Millisecond
 	// leaseTime is given to targets with each request. It outlasts most cuts
@@ -44,6 +46,10 @@
 	leaseTime = 5 * time.Second
 	// confirmTime is how long an owner gives orders without hearing from the log that it still is the owner.
 	confirmTime = 4 * time.Second
+	// longestLease is leaseTime on a target's clock that is 2% slow, and a margin.
+	longestLease = leaseTime + leaseTime/25
+	// inheritTime is how long after a takeover a target may keep a lease of the former owner.
+	inheritTime = confirmTime + longestLease
 )
 
 // Targets makes callers and knows the targets.
@@ -52,6 +58,8 @@
 	Caller(reg work.Registration) agent.Caller
 	// Snapshot returns the live targets of a pool.
 	Snapshot(pool ident.PoolID) []work.Registration
+	// Life returns the target that a VM runs at present, if that is known.
+	Life(work.MachineID) (work.TargetID, bool)
 }
 
 // Shard is the owner of one partition. Set its exported fields before Run.
@@ -95,6 +103,8 @@
 	agents  map[work.TargetID]*agentHandle
 	waiters []waiter
 	durable jobs.Flush
+	// cordoned is when the cordons were last set.
+	cordoned time.Time
 }
 
 type agentHandle struct {
@@ -125,7 +135,12 @@
 	defer t.Stop()
 	select {
 	case <-s.ready:
-		s.post(func(time.Time) { s.closing = true })
+		s.post(func(now time.Time) {
+			s.closing = true
+			for _, p := range s.pools {
+				p.Close(now)
+			}
+		})
 	default:
 		s.stop()
 	}
@@ -138,6 +153,12 @@
 // Done is closed when the shard has ended, for example because it was fenced.
 func (s *Shard) Done() <-chan struct{} { return s.done }
 
+// Ending is closed as soon as the shard begins to end.
+func (s *Shard) Ending() <-chan struct{} { return s.ctx.Done() }
+
+// MayOrder reports whether the ownership was confirmed recently enough to give orders.
+func (s *Shard) MayOrder() bool { return s.confirmed() }
+
 func (s *Shard) position() plog.TopicPartition {
 	return plog.TopicPartition{Topic: JobsTopic, Partition: s.Partition}
 }
@@ -225,6 +246,7 @@
 		p = &pool{Pool: jobs.NewPool(id), agents: map[work.TargetID]*agentHandle{}}
 		p.Fence = work.Fence(s.Epoch)
 		p.Bounds = s.Bounds
+		p.Bounds.Inherit, p.Bounds.Lease = inheritTime, longestLease
 		p.Events = s.Events
 		s.pools[id] = p
 	}
@@ -250,6 +272,13 @@
 			}
 		}
 	}
+	for _, id := range p.TargetIDs() {
+		if m := p.Machine(id); m != "" {
+			if present, ok := s.Targets.Life(m); ok && present != id {
+				p.Replaced(now, id)
+			}
+		}
+	}
 	s.orphanedTargets(now, p, live)
 }
 
@@ -268,8 +297,7 @@
 
 // inherited is when all leases that a former owner gave have passed.
 func (s *Shard) inherited() time.Time {
-	const drift = 1.03 // targets' clocks may be 2% slow
-	return s.begun.Add(confirmTime + time.Duration(float64(leaseTime)*drift))
+	return s.begun.Add(inheritTime)
 }
 
 func (s *Shard) keepAgent(p *pool, reg work.Registration) {
@@ -285,7 +313,7 @@
 	a.Caller = s.Targets.Caller(reg)
 	a.Fence, a.Lease, a.Clock, a.Inherited = p.Fence, leaseTime, s.Clock, s.inherited()
 	if h != nil { // the former agent gave leases at the old address
-		a.Inherited = s.Clock.Now().Add(leaseTime + leaseTime/10)
+		a.Inherited = s.Clock.Now().Add(longestLease)
 	}
 	a.Logger = s.Logger
 	a.Sink = &sink{shard: s, pool: p}
@@ -300,6 +328,9 @@
 	for _, p := range s.pools {
 		s.refresh(now, p)
 		p.Tick(now)
+		if now.Sub(p.cordoned) > cordonTime {
+			p.Uncordon()
+		}
 	}
 	if now.Sub(s.expired) > expirePeriod {
 		s.expired = now
--- /dev/null
+++ b/internal/sizer/sizer.go
@@ -0,0 +1,226 @@
+package sizer
+
+import (
+	"sort"
+	"time"
+
+	"github.com/toucanhatch/toucanhatch/internal/work"
+	"github.com/toucanhatch/toucanhatch/pkg/ident"
+)
+
+// Pool is the state of one pool.
+type Pool struct {
+	ID       ident.PoolID    `cbor:"1,keyasint"`
+	Parked   bool            `cbor:"2,keyasint,omitempty"` // its VMs are off
+	Targets  []Target        `cbor:"3,keyasint,omitempty"`
+	Running  work.Millicores `cbor:"4,keyasint,omitempty"` // held by tasks that end
+	Runnable work.Millicores `cbor:"5,keyasint,omitempty"` // asked for by tasks that could start
+	Lasting  work.Millicores `cbor:"6,keyasint,omitempty"` // held by tasks that last
+	Arrival  work.Millicores `cbor:"7,keyasint,omitempty"` // processor time asked for per time by new jobs
+	// Incoming is the room of VMs on their way into the pool.
+	Incoming work.Millicores `cbor:"8,keyasint,omitempty"`
+}
+
+// Target is the state of one VM of a pool.
+type Target struct {
+	ID       work.TargetID  `cbor:"1,keyasint"`
+	Machine  work.MachineID `cbor:"2,keyasint"`
+	Zone     ident.ZoneID   `cbor:"3,keyasint"`
+	Room     work.Resources `cbor:"4,keyasint"`
+	Runs     int            `cbor:"5,keyasint,omitempty"` // tasks that it runs or may run
+	Lasting  int            `cbor:"6,keyasint,omitempty"`
+	IdleFor  time.Duration  `cbor:"7,keyasint,omitempty"`
+	Draining bool           `cbor:"8,keyasint,omitempty"`
+	Usable   bool           `cbor:"9,keyasint,omitempty"` // it answers
+	Cordoned bool           `cbor:"10,keyasint,omitempty"`
+	Held     bool           `cbor:"11,keyasint,omitempty"` // not to be moved, for example during its upkeep
+}
+
+// Move gives a VM to another pool.
+type Move struct {
+	Machine work.MachineID
+	Target  work.TargetID // its present life; empty for a VM that is off
+	From    ident.PoolID
+	To      ident.PoolID
+	Reason  string
+}
+
+const (
+	// headroom is kept over the demand seen: more of it is on its way while VMs move.
+	headroom = 1.25
+	// cushion is the number of VMs that a pool keeps beyond its need, so that the next job finds room at once.
+	cushion = 1
+	// parkAfter is how long a VM must have been idle to be parked. A move costs what a VM in a pool costs in about 1.2 s.
+	parkAfter = 1500 * time.Millisecond
+	// lendAfter is how long a VM must have been idle to be lent.
+	lendAfter = 150 * time.Millisecond
+)
+
+// need is the number of VMs of the given room that a pool needs.
+func need(p *Pool, room work.Millicores) int {
+	demand := max(p.Running+p.Runnable, p.Arrival)
+	cores := p.Lasting + work.Millicores(headroom*float64(demand))
+	if room <= 0 {
+		return 0
+	}
+	return int((cores+room-1)/room) + cushion
+}
+
+// Decide returns the moves that bring the VMs to where they are needed.
+func Decide(pools []Pool) []Move {
+	s := newState(pools)
+	var moves []Move
+	for _, p := range s.shortFirst() {
+		for p.spare() < 0 {
+			m, ok := s.lend(p)
+			if !ok {
+				break
+			}
+			moves = append(moves, m)
+		}
+	}
+	return append(moves, s.park()...)
+}
+
+type state struct {
+	pools  []*poolState
+	parked *poolState // the pool that takes VMs nobody needs; nil if there is none
+}
+
+type poolState struct {
+	*Pool
+	need  int
+	have  int
+	idle  []Target // may be taken away
+	zones map[ident.ZoneID]int
+}
+
+// spare is how many VMs the pool has beyond its need; negative if it is short.
+func (p *poolState) spare() int { return p.have - p.need }
+
+func newState(pools []Pool) *state {
+	s := &state{}
+	room := typicalRoom(pools)
+	for i := range pools {
+		p := &poolState{Pool: &pools[i], zones: map[ident.ZoneID]int{}}
+		if !p.Parked {
+			p.need = need(p.Pool, room)
+		}
+		if room > 0 {
+			p.have = int(p.Incoming / room)
+		}
+		for _, t := range p.Targets {
+			p.zones[t.Zone]++
+			if t.Draining || t.Held || (!t.Usable && !p.Parked) {
+				continue
+			}
+			p.have++
+			if t.Runs == 0 {
+				p.idle = append(p.idle, t)
+			}
+		}
+		sort.Slice(p.idle, func(a, b int) bool { return p.idle[a].IdleFor > p.idle[b].IdleFor })
+		if p.Parked && s.parked == nil {
+			s.parked = p
+		}
+		s.pools = append(s.pools, p)
+	}
+	return s
+}
+
+func typicalRoom(pools []Pool) work.Millicores {
+	var rooms []work.Millicores
+	for i := range pools {
+		for _, t := range pools[i].Targets {
+			rooms = append(rooms, t.Room.CPU)
+		}
+	}
+	if len(rooms) == 0 {
+		return 0
+	}
+	sort.Slice(rooms, func(a, b int) bool { return rooms[a] < rooms[b] })
+	return rooms[len(rooms)/2]
+}
+
+// shortFirst returns the pools that run VMs, those that lack the most first.
+func (s *state) shortFirst() []*poolState {
+	var out []*poolState
+	for _, p := range s.pools {
+		if !p.Parked {
+			out = append(out, p)
+		}
+	}
+	sort.SliceStable(out, func(a, b int) bool { return out[a].spare() < out[b].spare() })
+	return out
+}
+
+// lend finds a VM for a pool that is short: a parked one, or an idle one of the pool with the most to spare.
+func (s *state) lend(to *poolState) (Move, bool) {
+	var from *poolState
+	for _, p := range s.pools {
+		if p == to || len(p.idle) == 0 {
+			continue
+		}
+		if p.Parked {
+			from = p
+			break
+		}
+		if p.spare() > 0 && p.idle[0].IdleFor >= lendAfter && (from == nil || p.spare() > from.spare()) {
+			from = p
+		}
+	}
+	if from == nil {
+		return Move{}, false
+	}
+	return s.move(from, to, "the pool is short")
+}
+
+// move takes the idle VM whose zone the receiving pool has the fewest of.
+func (s *state) move(from, to *poolState, reason string) (Move, bool) {
+	best := 0
+	for i, t := range from.idle {
+		if !from.Parked && t.IdleFor < lendAfter {
+			continue
+		}
+		if to.zones[t.Zone]-from.zones[t.Zone] < to.zones[from.idle[best].Zone]-from.zones[from.idle[best].Zone] {
+			best = i
+		}
+	}
+	t := from.idle[best]
+	from.idle = append(from.idle[:best:best], from.idle[best+1:]...)
+	from.have--
+	to.have++
+	from.zones[t.Zone]--
+	to.zones[t.Zone]++
+	return Move{Machine: t.Machine, Target: t.ID, From: from.ID, To: to.ID, Reason: reason}, true
+}
+
+// park moves VMs that have been idle for long, and that their pool doesn't need, into the parked pool.
+func (s *state) park() []Move {
+	var moves []Move
+	if s.parked == nil {
+		return nil
+	}
+	for _, p := range s.pools {
+		if p.Parked {
+			continue
+		}
+		for p.spare() > 0 && len(p.idle) > 0 && p.idle[0].IdleFor >= parkAfter {
+			m, ok := s.move(p, s.parked, "nobody needs the VM")
+			if !ok {
+				break
+			}
+			moves = append(moves, m)
+		}
+	}
+	return moves
+}
+
+// Spare returns how many VMs each pool has beyond its need; negative for a pool that is short.
+func Spare(pools []Pool) map[ident.PoolID]int {
+	out := map[ident.PoolID]int{}
+	for _, p := range newState(pools).pools {
+		out[p.ID] = p.spare()
+	}
+	return out
+}
--- /dev/null
+++ b/internal/steer/plan.go
@@ -0,0 +1,176 @@
+package steer
+
+import (
+	"context"
+	"time"
+
+	"github.com/toucanhatch/toucanhatch/internal/jobs"
+	"github.com/toucanhatch/toucanhatch/internal/plog"
+	"github.com/toucanhatch/toucanhatch/internal/sizer"
+	"github.com/toucanhatch/toucanhatch/internal/upkeep"
+	"github.com/toucanhatch/toucanhatch/internal/work"
+	"github.com/toucanhatch/toucanhatch/pkg/ident"
+)
+
+// ready is an order for a VM that has been found empty.
+type ready struct {
+	kind    jobs.CordonReason
+	machine work.MachineID
+	target  work.TargetID
+	room    work.Millicores
+	from    ident.PoolID
+	to      ident.PoolID
+	wave    int64
+	reason  string
+}
+
+type cordonSet map[ident.PoolID]map[work.TargetID]jobs.CordonReason
+
+func (c cordonSet) add(pool ident.PoolID, id work.TargetID, why jobs.CordonReason) {
+	if c[pool] == nil {
+		c[pool] = map[work.TargetID]jobs.CordonReason{}
+	}
+	c[pool][id] = why
+}
+
+// targetsByMachine relates VMs to what their pools report of them.
+func targetsByMachine(pools []sizer.Pool) map[work.MachineID]*sizer.Target {
+	out := map[work.MachineID]*sizer.Target{}
+	for i := range pools {
+		for k := range pools[i].Targets {
+			t := &pools[i].Targets[k]
+			out[t.Machine] = t
+		}
+	}
+	return out
+}
+
+// planWaves chooses the VMs to cordon for upkeep and returns those that are empty.
+func (s *Steer) planWaves(now time.Time, machines map[work.MachineID]work.Machine, pools []sizer.Pool, next cordonSet) []ready {
+	byMachine := targetsByMachine(pools)
+	spare := sizer.Spare(pools)
+	parked := map[ident.PoolID]bool{}
+	for _, p := range pools {
+		parked[p.ID] = p.Parked
+	}
+	var out []ready
+	for _, w := range s.Pools.Waves() {
+		st := s.store.wave(now, w.ID)
+		if st.Completed {
+			continue
+		}
+		wave := upkeep.Wave{Wave: w, Down: s.down(w.ID, w.Machines, machines), Time: w.Within - s.store.since(now, w.ID)}
+		for _, id := range w.Machines {
+			m, listed := machines[id]
+			if !listed || m.State != work.MachineUp || st.has(id) || !s.free(now, id) {
+				continue
+			}
+			x := upkeep.Machine{ID: id, Pool: m.Pool, Off: parked[m.Pool], Spare: spare[m.Pool]}
+			if t := byMachine[id]; t != nil {
+				x.Runs, x.Lasting = t.Runs, t.Lasting
+				x.Cordoned = s.cordons[m.Pool][t.ID] == jobs.CordonUpkeep
+			} else if !x.Off {
+				continue // not reported: whether it is empty isn't known
+			}
+			wave.Left = append(wave.Left, x)
+		}
+		for _, x := range upkeep.Choose(wave, s.UpkeepTime) {
+			m := machines[x.ID]
+			r := ready{kind: jobs.CordonUpkeep, machine: x.ID, from: m.Pool, wave: w.ID, reason: "wave"}
+			if !x.Off {
+				t := byMachine[x.ID]
+				next.add(m.Pool, t.ID, jobs.CordonUpkeep)
+				if !t.Cordoned || t.Runs > 0 {
+					continue
+				}
+				r.target, r.room = t.ID, t.Room.CPU
+			}
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
+// down counts the VMs of a wave that are down, or may be.
+func (s *Steer) down(wave int64, ids []work.MachineID, machines map[work.MachineID]work.Machine) int {
+	n := 0
+	for _, id := range ids {
+		o := s.orders[id]
+		if machines[id].State == work.MachineUpkeep || (o != nil && o.kind == jobs.CordonUpkeep && o.wave == wave && (o.done || o.unsure)) {
+			n++
+		}
+	}
+	return n
+}
+
+// planMoves chooses the VMs that change their pool.
+func (s *Steer) planMoves(now time.Time, machines map[work.MachineID]work.Machine, pools []sizer.Pool, next cordonSet) []ready {
+	for i := range pools {
+		p := &pools[i]
+		for k := range p.Targets {
+			t := &p.Targets[k]
+			_, upkeepNext := next[p.ID][t.ID]
+			m, listed := machines[t.Machine]
+			t.Held = upkeepNext || !listed || m.State != work.MachineUp || m.Pool != p.ID || !s.free(now, t.Machine)
+		}
+		for _, o := range s.orders {
+			if o.kind == jobs.CordonMove && o.to == p.ID && o.done {
+				p.Incoming += o.room
+			}
+		}
+	}
+	byMachine := targetsByMachine(pools)
+	var out []ready
+	for _, m := range sizer.Decide(pools) {
+		t := byMachine[m.Machine]
+		r := ready{kind: jobs.CordonMove, machine: m.Machine, target: m.Target, room: t.Room.CPU, from: m.From, to: m.To, reason: m.Reason}
+		if m.Target != "" {
+			next.add(m.From, m.Target, jobs.CordonMove)
+			if !t.Cordoned || t.Runs > 0 {
+				continue
+			}
+		}
+		out = append(out, r)
+	}
+	return out
+}
+
+// publish tells operators how far the waves are.
+func (s *Steer) publish(ctx context.Context, machines map[work.MachineID]work.Machine) error {
+	now := s.Clock.Now()
+	for _, w := range s.Pools.Waves() {
+		st := s.store.wave(now, w.ID)
+		if st.Published && (st.Completed || !s.complete(st, w, machines)) {
+			if st.Dirty {
+				if err := s.store.saveWave(ctx, w.ID); err != nil {
+					return err
+				}
+			}
+			continue
+		}
+		done := s.complete(st, w, machines)
+		if err := s.store.saveWave(ctx, w.ID); err != nil {
+			return err
+		}
+		record, err := s.EncodeStatus(w.ID, done)
+		if err != nil {
+			return err
+		}
+		if err := s.store.append(ctx, s.Status, []plog.Record{record}); err != nil {
+			return err
+		}
+		st.Published, st.Completed, st.Dirty = true, done, true
+		s.Logger.Info("wave", "wave", w.ID, "machines", len(w.Machines), "begun", len(st.Begun), "completed", done)
+	}
+	return nil
+}
+
+// complete reports whether all VMs of a wave that still exist have begun their upkeep.
+func (s *Steer) complete(st *waveState, w work.Wave, machines map[work.MachineID]work.Machine) bool {
+	for _, id := range w.Machines {
+		if _, listed := machines[id]; listed && !st.has(id) {
+			return false
+		}
+	}
+	return len(machines) > 0
+}
