Keep a target for each task that is apart; count unheard targets as away

Ruled out: placement (all other targets held a task of the step). Change: the sizer's need covers the widest spread and memory; away() counts targets that don't answer; starts on their way are refused in every next life.

--- /dev/null
+++ b/internal/jobs/pool_test.go
@@ -0,0 +1,218 @@
+package jobs
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/toucanhatch/toucanhatch/internal/work"
+)
+
+// bed drives one pool with targets that do what they are told.
+type bed struct {
+	t    *testing.T
+	p    *Pool
+	now  time.Time
+	seq  map[work.TargetID]int64
+	runs map[work.TargetID][]work.RunningRow
+}
+
+var testQueue = work.Queue{ID: "q", Pool: "pool", MaxAttempts: 2, SlackFactor: 1.6, Objective: 600 * time.Millisecond}
+
+func newBed(t *testing.T, targets int) *bed {
+	t.Helper()
+	b := &bed{t: t, p: NewPool("pool"), now: time.Unix(1_700_000_000, 0), seq: map[work.TargetID]int64{}, runs: map[work.TargetID][]work.RunningRow{}}
+	b.p.Fence = 1
+	b.p.Bounds = Bounds{StopTimeout: 400 * time.Millisecond, RemoteCost: 1, Retention: time.Minute, Inherit: 9 * time.Second, Lease: 5 * time.Second}
+	b.p.SetQueues([]work.Queue{testQueue})
+	for i := range targets {
+		id := work.TargetID(fmt.Sprintf("t%d", i))
+		b.register(id)
+		b.list(id)
+	}
+	return b
+}
+
+func (b *bed) register(id work.TargetID) {
+	b.p.Register(b.now, work.Registration{
+		ID: id, Pool: "pool", Machine: work.MachineID("m-" + id), Born: 1000, Rack: "r1", Labels: []string{"a", "r1"},
+		Room: work.Resources{CPU: 16000, Memory: 65536},
+	})
+}
+
+// list delivers the target's list as it stands.
+func (b *bed) list(id work.TargetID, ended ...work.EndRow) {
+	b.now = b.now.Add(10 * time.Millisecond)
+	for i := range ended {
+		b.seq[id]++
+		ended[i].Seq = b.seq[id]
+	}
+	b.p.Listed(b.now, work.List{Target: id, Born: 1000, Sent: b.now.Add(-time.Millisecond), Running: b.runs[id], Ended: ended})
+}
+
+func (b *bed) submit(id work.JobID, steps ...work.Step) {
+	b.t.Helper()
+	if a := b.p.Submit(b.now, id, testQueue, &work.Spec{Steps: steps}); a.Refused {
+		b.t.Fatalf("job %s was refused", id)
+	}
+}
+
+// settle plans, makes all changes durable and carries the orders out.
+func (b *bed) settle() (started []StartOrder) {
+	b.p.Plan(b.now)
+	if records, flush := b.p.Flush(); len(records) > 0 {
+		b.p.Durable(b.now, flush)
+	}
+	for _, o := range b.p.Orders() {
+		switch o := o.(type) {
+		case StartOrder:
+			started = append(started, o)
+			b.p.Started(b.now, o.Target, o.Task, o.Attempt, StartOK)
+			b.runs[o.Target] = append(b.runs[o.Target], work.RunningRow{Task: o.Task, Attempt: o.Attempt, Percent: 100})
+		case StopOrder:
+			b.p.Stopped(b.now, o.Target, o.Task, o.Attempt, true)
+			b.end(o.Target, o.Task, o.Attempt, work.EndStopped)
+		}
+	}
+	return started
+}
+
+func (b *bed) end(id work.TargetID, task work.TaskID, attempt work.Attempt, kind work.EndKind) {
+	rows := b.runs[id]
+	for i := range rows {
+		if rows[i].Task == task && rows[i].Attempt == attempt {
+			b.runs[id] = append(rows[:i:i], rows[i+1:]...)
+			break
+		}
+	}
+	b.list(id, work.EndRow{Task: task, Attempt: attempt, Kind: kind})
+}
+
+var (
+	smallStep   = work.Step{Count: 1, Need: work.Resources{CPU: 1000, Memory: 100}, Estimate: time.Second}
+	lastingStep = work.Step{Count: 3, Need: work.Resources{CPU: 1000, Memory: 100}, Lasting: true, MaxPerTarget: 1, MissBudget: 1}
+)
+
+// Guards against starts that a successor would know nothing of.
+func TestStartWaitsForDurableRecord(t *testing.T) {
+	b := newBed(t, 1)
+	b.submit("0000000000000001", smallStep)
+	b.p.Plan(b.now)
+	if got := b.p.Orders(); len(got) != 0 {
+		t.Fatalf("orders before the record is durable: %v, want none", got)
+	}
+	_, flush := b.p.Flush()
+	b.p.Durable(b.now, flush)
+	if got := b.p.Orders(); len(got) != 1 {
+		t.Fatalf("orders after the record is durable: %v, want one", got)
+	}
+}
+
+// Guards against ends that are forgotten by their target before they are stored.
+func TestEndIsAcknowledgedOnceDurable(t *testing.T) {
+	b := newBed(t, 1)
+	b.submit("0000000000000001", smallStep)
+	start := b.settle()[0]
+	b.end(start.Target, start.Task, start.Attempt, work.EndDone)
+	if got := b.p.Acked(start.Target); got != 0 {
+		t.Errorf("acknowledged %d before the end is durable, want 0", got)
+	}
+	if state, _ := b.p.State("0000000000000001", b.p.durable); state != work.Active {
+		t.Errorf("state %s before the end is durable, want %s", state, work.Active)
+	}
+	_, flush := b.p.Flush()
+	b.p.Durable(b.now, flush)
+	if got := b.p.Acked(start.Target); got != 1 {
+		t.Errorf("acknowledged %d after the end is durable, want 1", got)
+	}
+	if state, _ := b.p.State("0000000000000001", flush); state != work.Completed {
+		t.Errorf("state %s after the end is durable, want %s", state, work.Completed)
+	}
+}
+
+// Guards against a directory that is behind: an earlier life of the VM says
+// nothing about a run that was given to a later one (TWICE, carretilla-quito fresh-5160).
+func TestEarlierLifeIsNoEvidence(t *testing.T) {
+	b := newBed(t, 2)
+	b.submit("0000000000000001", smallStep)
+	start := b.settle()[0]
+	b.p.Replaced(b.now, start.Target, 999)
+	if got := b.settle(); len(got) != 0 {
+		t.Errorf("a stale registration restarted the task: %v", got)
+	}
+	b.p.Replaced(b.now, start.Target, 1001)
+	if got := b.settle(); len(got) != 1 {
+		t.Errorf("starts after a later life of the VM: %v, want one", got)
+	}
+}
+
+// Guards against stops for upkeep while another task of the step is on a
+// target that doesn't answer (AVAIL, umurimo-hatch trouble-3 seed 741991295057).
+func TestUnheardTargetsCountAgainstTheBudget(t *testing.T) {
+	b := newBed(t, 3)
+	b.submit("0000000000000001", lastingStep)
+	starts := b.settle()
+	for i := range 3 {
+		b.list(work.TargetID(fmt.Sprintf("t%d", i)))
+	}
+	b.p.Unheard(starts[0].Target)
+	b.p.Cordon(starts[1].Target, CordonUpkeep)
+	b.p.Tick(b.now)
+	if got := b.p.Orders(); len(got) != 0 {
+		t.Fatalf("orders while a task is away and one may be: %v, want none", got)
+	}
+	b.list(starts[0].Target)
+	b.p.Tick(b.now)
+	if got := b.p.Orders(); len(got) != 1 {
+		t.Fatalf("orders while all are at work: %v, want one stop", got)
+	}
+}
+
+// Guards against a new wait for the former leases at each takeover (LOST,
+// umurimo-hatch trouble-2): the time by which they lapse is part of the record.
+func TestInheritedLeaseIsNotWaitedForAnew(t *testing.T) {
+	b := newBed(t, 1)
+	b.submit("0000000000000001", smallStep)
+	b.settle()
+	record := func(p *Pool) *Record { return p.jobs["0000000000000001"].record(p.ID, testQueue) }
+	now := b.now
+	r := record(b.p)
+	var p *Pool
+	for range 4 { // an owner every three seconds, none of which reaches the target
+		p = NewPool("pool")
+		p.Bounds = b.p.Bounds
+		p.Restore(now, r)
+		p.Register(now, work.Registration{ID: "t1", Pool: "pool", Room: work.Resources{CPU: 16000, Memory: 65536}, Born: 5})
+		p.Listed(now, work.List{Target: "t1", Born: 5, Sent: now})
+		r = record(p)
+		now = now.Add(3 * time.Second)
+		p.Tick(now)
+		p.Plan(now)
+	}
+	if _, flush := p.Flush(); flush == 0 || p.jobs["0000000000000001"].occurrences[0].steps[0].tasks[0].run.target.ID != "t1" {
+		t.Errorf("the task still waits for %s after 12 s, want it planned on t1", p.jobs["0000000000000001"].occurrences[0].steps[0].tasks[0].run.target.ID)
+	}
+}
+
+// Guards against a start of a former life that arrives in the next one.
+func TestNextLifeRefusesLateStarts(t *testing.T) {
+	b := newBed(t, 2)
+	b.submit("0000000000000001", smallStep)
+	b.p.Plan(b.now)
+	_, flush := b.p.Flush()
+	b.p.Durable(b.now, flush)
+	start := b.p.Orders()[0].(StartOrder)
+	b.p.Started(b.now, start.Target, start.Task, start.Attempt, StartNoAnswer)
+	b.list(start.Target)
+	if got := b.p.Orders(); len(got) != 1 {
+		t.Fatalf("orders after a list without the start: %v, want a stop", got)
+	}
+	b.p.Stopped(b.now, start.Target, start.Task, start.Attempt, true)
+	b.now = b.now.Add(time.Second)
+	b.list(start.Target) // settled: the task may start elsewhere
+	b.p.Listed(b.now, work.List{Target: start.Target, Born: 2000, Sent: b.now})
+	stop, ok := b.p.Orders()[0].(StopOrder)
+	if !ok || stop.Task != start.Task || stop.Attempt != start.Attempt {
+		t.Errorf("first order to the next life is %+v, want a stop of %v attempt %d", stop, start.Task, start.Attempt)
+	}
+}
--- a/internal/jobs/report.go
+++ b/internal/jobs/report.go
@@ -87,9 +87,9 @@
 			}
 			if r.spec.Lasting {
 				s.Lasting++
-				out.Lasting += held(r.spec).CPU
+				out.Lasting = out.Lasting.Plus(held(r.spec))
 			} else {
-				out.Running += held(r.spec).CPU
+				out.Running = out.Running.Plus(held(r.spec))
 			}
 		}
 		out.Targets = append(out.Targets, s)
@@ -97,8 +97,13 @@
 	for _, j := range p.active {
 		for _, o := range j.occurrences {
 			for i := range o.steps {
-				if st := &o.steps[i]; st.blockers == 0 && st.waiting > 0 {
-					out.Runnable += work.Millicores(st.waiting) * held(&j.spec.Steps[i]).CPU
+				st, spec := &o.steps[i], &j.spec.Steps[i]
+				if st.blockers > 0 || st.left == 0 {
+					continue
+				}
+				out.Runnable = out.Runnable.Plus(held(spec).Times(st.waiting))
+				if spec.MaxPerTarget > 0 {
+					out.Spread = max(out.Spread, (st.left+spec.MaxPerTarget-1)/spec.MaxPerTarget)
 				}
 			}
 		}
@@ -127,7 +132,7 @@
 		if other == r {
 			continue
 		}
-		if other == nil || other.state != runRunning || other.percent < 100 {
+		if other == nil || other.state != runRunning || other.percent < 100 || other.target.unheard {
 			n++
 		}
 	}
--- a/internal/jobs/run.go
+++ b/internal/jobs/run.go
@@ -45,7 +45,7 @@
 	target  *target
 	born    int64 // life of the target that it was planned for
 	state   runState
-	unsure  bool  // its start got no answer, so that the order may still be on its way
+	unsure  bool // its start got no answer, so that the order may still be on its way
 	resumed bool // from a checkpoint
 	machine work.MachineID
 	// lapseBy is the wall time by which the leases of a former owner have passed.
--- a/internal/jobs/target.go
+++ b/internal/jobs/target.go
@@ -22,7 +22,7 @@
 	idleSince  time.Time
 	shunned    time.Time // no starts before
 	endSeq     int64     // highest end that was taken in
-	ghosts     []ghost // starts that may still arrive, though their task needs them no longer
+	ghosts     []ghost   // starts that may still arrive, though their task needs them no longer
 	acks       []ackMark
 	acked      int64 // ends up to here may be acknowledged
 	verdict    judge.Verdict
@@ -221,9 +221,7 @@
 // newLife ends the runs of a target's former life. A start that may still be
 // on its way is stopped in the new life before its task starts elsewhere.
 func (p *Pool) newLife(now time.Time, t *target, born int64) {
-	if t.life != 0 {
-		p.layGhosts(now, t, born)
-	}
+	p.layGhosts(now, t, born)
 	t.life, t.endSeq, t.acked, t.acks = born, 0, 0, nil
 	p.replan = true
 	for _, r := range t.list() {
--- a/internal/sizer/sizer.go
+++ b/internal/sizer/sizer.go
@@ -13,12 +13,14 @@
 	ID       ident.PoolID    `cbor:"1,keyasint"`
 	Parked   bool            `cbor:"2,keyasint,omitempty"` // its VMs are off
 	Targets  []Target        `cbor:"3,keyasint,omitempty"`
-	Running  work.Millicores `cbor:"4,keyasint,omitempty"` // held by tasks that end
-	Runnable work.Millicores `cbor:"5,keyasint,omitempty"` // asked for by tasks that could start
-	Lasting  work.Millicores `cbor:"6,keyasint,omitempty"` // held by tasks that last
+	Running  work.Resources  `cbor:"4,keyasint"`           // held by tasks that end
+	Runnable work.Resources  `cbor:"5,keyasint"`           // asked for by tasks that could start
+	Lasting  work.Resources  `cbor:"6,keyasint"`           // held by tasks that last
 	Arrival  work.Millicores `cbor:"7,keyasint,omitempty"` // processor time asked for per time by new jobs
 	// Incoming is the room of VMs on their way into the pool.
 	Incoming work.Millicores `cbor:"8,keyasint,omitempty"`
+	// Spread is the number of targets that the step needs whose tasks have to be the most apart.
+	Spread int `cbor:"9,keyasint,omitempty"`
 }
 
 // Target is the state of one VM of a pool.
@@ -57,13 +59,20 @@
 )
 
 // need is the number of VMs of the given room that a pool needs.
-func need(p *Pool, room work.Millicores) int {
-	demand := max(p.Running+p.Runnable, p.Arrival)
-	cores := p.Lasting + work.Millicores(headroom*float64(demand))
-	if room <= 0 {
+func need(p *Pool, room work.Resources) int {
+	active := p.Running.Plus(p.Runnable)
+	cores := p.Lasting.CPU + work.Millicores(headroom*float64(max(active.CPU, p.Arrival)))
+	memory := p.Lasting.Memory + work.Mebibytes(headroom*float64(active.Memory))
+	n := max(p.Spread, quotient(int64(cores), int64(room.CPU)), quotient(int64(memory), int64(room.Memory)))
+	return n + cushion
+}
+
+// quotient is how many parts of a size make up a whole, rounded up.
+func quotient(whole, part int64) int {
+	if part <= 0 {
 		return 0
 	}
-	return int((cores+room-1)/room) + cushion
+	return int((whole + part - 1) / part)
 }
 
 // Decide returns the moves that bring the VMs to where they are needed.
@@ -106,8 +115,8 @@
 		if !p.Parked {
 			p.need = need(p.Pool, room)
 		}
-		if room > 0 {
-			p.have = int(p.Incoming / room)
+		if room.CPU > 0 {
+			p.have = int(p.Incoming / room.CPU)
 		}
 		for _, t := range p.Targets {
 			p.zones[t.Zone]++
@@ -128,17 +137,17 @@
 	return s
 }
 
-func typicalRoom(pools []Pool) work.Millicores {
-	var rooms []work.Millicores
+func typicalRoom(pools []Pool) work.Resources {
+	var rooms []work.Resources
 	for i := range pools {
 		for _, t := range pools[i].Targets {
-			rooms = append(rooms, t.Room.CPU)
+			rooms = append(rooms, t.Room)
 		}
 	}
 	if len(rooms) == 0 {
-		return 0
+		return work.Resources{}
 	}
-	sort.Slice(rooms, func(a, b int) bool { return rooms[a] < rooms[b] })
+	sort.Slice(rooms, func(a, b int) bool { return rooms[a].CPU < rooms[b].CPU })
 	return rooms[len(rooms)/2]
 }
 
--- /dev/null
+++ b/internal/sizer/sizer_test.go
@@ -0,0 +1,80 @@
+package sizer
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/toucanhatch/toucanhatch/internal/work"
+	"github.com/toucanhatch/toucanhatch/pkg/ident"
+)
+
+var testRoom = work.Resources{CPU: 16000, Memory: 65536}
+
+func pool(id ident.PoolID, targets int) Pool {
+	p := Pool{ID: id}
+	for i := range targets {
+		p.Targets = append(p.Targets, Target{
+			ID: work.TargetID(fmt.Sprintf("%s-%d", id, i)), Machine: work.MachineID(fmt.Sprintf("m-%s-%d", id, i)),
+			Room: testRoom, Usable: true, IdleFor: time.Minute,
+		})
+	}
+	return p
+}
+
+func count(moves []Move, from, to ident.PoolID) int {
+	n := 0
+	for _, m := range moves {
+		if m.From == from && m.To == to {
+			n++
+		}
+	}
+	return n
+}
+
+// Answers the turn of one pool, which asks for more than it holds.
+func TestLendsToThePoolThatIsShort(t *testing.T) {
+	busy := pool("busy", 4)
+	busy.Running = work.Resources{CPU: 64000}
+	busy.Runnable = work.Resources{CPU: 32000}
+	for i := range busy.Targets {
+		busy.Targets[i].Runs = 8
+	}
+	off := pool("off", 2)
+	off.Parked = true
+	moves := Decide([]Pool{busy, pool("idle", 8), off})
+	if got, want := count(moves, "off", "busy")+count(moves, "idle", "busy"), 5; got != want {
+		t.Errorf("%d VMs are lent, want %d: %+v", got, want, moves)
+	}
+}
+
+// Guards against a lasting step whose tasks have to be on targets of their own,
+// while the pool keeps too few (LOST, carretilla-quito quiet-1 seed 435014055576).
+func TestKeepsATargetForEachTaskThatIsApart(t *testing.T) {
+	p := pool("p", 6)
+	p.Spread = 5
+	p.Lasting = work.Resources{CPU: 5000}
+	for i := range 4 {
+		p.Targets[i].Runs, p.Targets[i].Lasting = 1, 1
+	}
+	p.Targets[5].Held = true // down for its upkeep
+	off := pool("off", 3)
+	off.Parked = true
+	moves := Decide([]Pool{p, off})
+	if got := count(moves, "p", "off"); got != 0 {
+		t.Errorf("%d VMs are parked, want none", got)
+	}
+	if got := count(moves, "off", "p"); got == 0 {
+		t.Error("no VM is fetched, though five tasks have to be apart and one VM is down")
+	}
+}
+
+// Answers the lull between two turns.
+func TestParksWhatNobodyNeeds(t *testing.T) {
+	off := pool("off", 0)
+	off.Parked = true
+	moves := Decide([]Pool{pool("idle", 8), off})
+	if got, want := count(moves, "idle", "off"), 7; got != want {
+		t.Errorf("%d VMs are parked, want %d", got, want)
+	}
+}
--- a/internal/work/types.go
+++ b/internal/work/types.go
@@ -47,6 +47,11 @@
 	return Resources{r.CPU - o.CPU, r.Memory - o.Memory, r.GPU - o.GPU}
 }
 
+// Times returns n times r.
+func (r Resources) Times(n int) Resources {
+	return Resources{r.CPU * Millicores(n), r.Memory * Mebibytes(n), r.GPU * ident.Accelerators(n)}
+}
+
 // Fits reports whether r fits into free.
 func (r Resources) Fits(free Resources) bool {
 	return r.CPU <= free.CPU && r.Memory <= free.Memory && r.GPU <= free.GPU
