--- a/internal/admit/admit.go
+++ b/internal/admit/admit.go
@@ -7,6 +7,7 @@
 	Backlog  time.Duration // processor time of accepted work that has not been done, of one core
 	Capacity float64       // cores of the targets that may be given tasks
 	Jobs     int           // active jobs
+	Reserve  float64       // cores on their way to the pool, or that can be lent to it
 }
 
 // Demand is what a new job asks for.
@@ -45,11 +46,12 @@
 	if d.Lasting || d.Scheduled {
 		return Verdict{Admit: true}
 	}
-	if l.Capacity <= 0 {
+	capacity := l.Capacity + l.Reserve
+	if capacity <= 0 {
 		return Verdict{Admit: true, Reason: "no target is known yet"}
 	}
-	wait := time.Duration(float64(l.Backlog) / l.Capacity)
-	own := max(d.Chain, time.Duration(float64(d.Work)/l.Capacity))
+	wait := time.Duration(float64(l.Backlog) / capacity)
+	own := max(d.Chain, time.Duration(float64(d.Work)/capacity))
 	if wait+own > maxLateness*d.Objective {
 		return Verdict{
 			Reason: "the work ahead takes too long", Wait: wait,
--- a/internal/jobd/daemon.go
+++ b/internal/jobd/daemon.go
@@ -56,8 +56,10 @@
 	groupTTL = 1200 * time.Millisecond
 	// configWait is how long one read waits for a new configuration.
 	configWait = 2 * time.Second
-	// targetsPause bounds the reads of the registrations, of which some come in each tenth of a second.
-	targetsPause = 300 * time.Millisecond
+	// targetsWait and targetsPause bound the reads of the registrations, of which some come in each tenth
+	// of a second; a VM that joins a pool is known that much later.
+	targetsWait  = time.Second
+	targetsPause = 150 * time.Millisecond
 	// lameDuck is how long a stopping process still answers on open connections after it
 	// stopped being ready: the balancer looks once a second and acts on the second miss.
 	lameDuck = 2500 * time.Millisecond
@@ -124,6 +126,7 @@
 	d.targetWatch = d.watchTargets()
 	wg.Go(func() { d.targetWatch.Run(running) })
 	wg.Go(func() { d.owners.Run(running) })
+	wg.Go(func() { d.service.watchReach(running) })
 	membership, leave := context.WithCancel(running)
 	var left sync.WaitGroup
 	left.Go(func() { d.member.Run(membership) })
@@ -164,7 +167,7 @@
 		TTL: max(groupTTL, s.Log.MinTTL.Duration), Start: d.startOwner, Clock: d.Clock, Logger: d.Logger,
 	}
 	d.member.Init()
-	d.service = &Service{Parts: s.Log.Parts, Member: d.member, Owners: d.owners, Links: &link.Client{}, Clock: d.Clock, Logger: d.Logger}
+	d.service = &Service{Parts: s.Log.Parts, Self: s.Peer, Member: d.member, Owners: d.owners, Links: &link.Client{}, Clock: d.Clock, Logger: d.Logger}
 	d.direct = &direct.Directory{Decode: p.DecodeTarget, Guards: d.guards, Clock: d.Clock, Logger: d.Logger}
 }
 
@@ -207,7 +210,7 @@
 
 // readiness tells the balancer whether this process can serve clients.
 func (d *Daemon) readiness(w http.ResponseWriter, _ *http.Request) {
-	if d.stopping.Load() || d.service.routes.Load() == nil || !d.owners.Known() {
+	if d.stopping.Load() || d.service.routes.Load() == nil || !d.owners.Known() || !d.service.Connected() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -275,7 +278,7 @@
 
 func (d *Daemon) watchTargets() *watch.Watch {
 	return &watch.Watch{
-		Log: d.Platform.Log, From: d.Platform.Targets, Wait: 0, Pause: targetsPause, Wanted: d.member.Owns,
+		Log: d.Platform.Log, From: d.Platform.Targets, Wait: targetsWait, Pause: targetsPause, Wanted: d.member.Owns,
 		Replace: d.direct.Replace, Apply: d.direct.Apply, Clock: d.Clock, Logger: d.Logger,
 	}
 }
--- a/internal/jobd/service.go
+++ b/internal/jobd/service.go
@@ -47,13 +47,16 @@
 // Service carries out clients' requests, here or at the pool's owner.
 type Service struct {
 	Parts  int
+	Self   string // peer address of this process
 	Member *group.Member
 	Owners *owners
 	Links  *link.Client
 	Clock  clock.Clock
 	Logger hclog.Logger
 
-	routes atomic.Pointer[route.Table]
+	routes  atomic.Pointer[route.Table]
+	reached atomic.Int64 // Unix nanoseconds of Clock when another process last answered
+	cutOff  atomic.Bool  // neither the log nor another process answers
 
 	wavesMu sync.Mutex
 	waves   []work.Wave
@@ -67,6 +70,7 @@
 	methodPending link.Method = "pending"
 	methodRejoin  link.Method = "rejoin"
 	methodReport  link.Method = "report"
+	methodPing    link.Method = "ping"
 )
 
 // outcome is how a request ended at the pool's owner.
@@ -82,11 +86,10 @@
 )
 
 type ask struct {
-	Job   work.JobID `cbor:"1,keyasint"`
-	Queue work.Queue `cbor:"2,keyasint"`
-	Spec  *work.Spec `cbor:"3,keyasint,omitempty"`
-	// Cordons are set with a report.
-	Cordons map[work.TargetID]jobs.CordonReason `cbor:"4,keyasint,omitempty"`
+	Job        work.JobID       `cbor:"1,keyasint"`
+	Queue      work.Queue       `cbor:"2,keyasint"`
+	Spec       *work.Spec       `cbor:"3,keyasint,omitempty"`
+	Directions *jobs.Directions `cbor:"4,keyasint,omitempty"` // with a report
 }
 
 type reply struct {
@@ -99,6 +102,9 @@
 
 // Handle answers the requests of other processes.
 func (s *Service) Handle(ctx context.Context, m link.Method, body []byte) ([]byte, error) {
+	if m == methodPing {
+		return nil, nil
+	}
 	if m == methodRejoin {
 		s.Member.Hint()
 		s.Owners.Hint()
@@ -128,7 +134,10 @@
 		r.Pending, err = sh.Pending(ctx, a.Queue.Pool, a.Queue.ID)
 	case methodReport:
 		var report sizer.Pool
-		report, err = sh.Report(ctx, a.Queue.Pool, a.Cordons)
+		if a.Directions == nil {
+			return reply{Outcome: outcomeUnsure}
+		}
+		report, err = sh.Report(ctx, a.Queue.Pool, *a.Directions)
 		r.Report = &report
 	}
 	var refused *shard.RefusedError
@@ -166,7 +175,7 @@
 		if r.Outcome != outcomeNotOwner && r.Outcome != outcomeUnsure {
 			return r, unsure
 		}
-		if ctx.Err() != nil || s.Clock.Now().Sub(begin) > ownerWait {
+		if ctx.Err() != nil || s.Clock.Now().Sub(begin) > ownerWait || !s.Connected() {
 			return r, unsure
 		}
 		s.Owners.Hint()
@@ -188,6 +197,7 @@
 	}
 	r, err := link.Call[reply](ctx, s.Links, addr, m, a)
 	if err == nil {
+		s.reached.Store(s.Clock.Now().UnixNano())
 		return r
 	}
 	s.Logger.Info("the owner did not answer", "job", a.Job, "method", m, "owner", addr, "error", err)
@@ -198,8 +208,8 @@
 }
 
 // Report implements steer.Pools.
-func (s *Service) Report(ctx context.Context, pool ident.PoolID, cordons map[work.TargetID]jobs.CordonReason) (sizer.Pool, error) {
-	r := s.attempt(ctx, methodReport, ask{Queue: work.Queue{Pool: pool}, Cordons: cordons}, s.position(pool))
+func (s *Service) Report(ctx context.Context, pool ident.PoolID, d jobs.Directions) (sizer.Pool, error) {
+	r := s.attempt(ctx, methodReport, ask{Queue: work.Queue{Pool: pool}, Directions: &d}, s.position(pool))
 	if r.Outcome != outcomeOK || r.Report == nil {
 		s.Owners.Hint()
 		return sizer.Pool{}, errors.Newf("pool %q: %s", pool, r.Outcome)
--- a/internal/jobs/pool.go
+++ b/internal/jobs/pool.go
@@ -38,6 +38,7 @@
 	advice     map[stepKey]*tickets
 	replan     bool
 	arrival    arrival
+	reserve    work.Millicores // room that can be lent to the pool
 }
 
 // Bounds are the limits of the platform that the pool has to respect.
--- a/internal/jobs/report.go
+++ b/internal/jobs/report.go
@@ -11,15 +11,18 @@
 
 // arrival tracks how much work a pool's clients hand in, whether it is admitted or not.
 type arrival struct {
-	rate float64 // cores
+	fast float64 // cores, over a short window
+	slow float64 // cores, over a longer one
 	at   time.Time
 	// refused jobs come again under the same id; they count once.
 	seen map[work.JobID]time.Time
 }
 
 const (
-	// arrivalWindow smooths the rate; demand turns within some seconds.
-	arrivalWindow = 1500 * time.Millisecond
+	// Demand turns within some seconds: the short window shows a rise early, the
+	// longer one keeps a pool from shrinking between two bursts.
+	fastWindow = 500 * time.Millisecond
+	slowWindow = 1500 * time.Millisecond
 	// seenFor is longer than clients go on trying.
 	seenFor = 15 * time.Second
 	maxSeen = 4096
@@ -27,7 +30,8 @@
 
 func (a *arrival) decay(now time.Time) {
 	if !a.at.IsZero() {
-		a.rate *= math.Exp(-float64(now.Sub(a.at)) / float64(arrivalWindow))
+		a.fast *= math.Exp(-float64(now.Sub(a.at)) / float64(fastWindow))
+		a.slow *= math.Exp(-float64(now.Sub(a.at)) / float64(slowWindow))
 	}
 	a.at = now
 }
@@ -47,7 +51,8 @@
 	}
 	a.seen[id] = now
 	a.decay(now)
-	a.rate += float64(d.Work) / float64(arrivalWindow)
+	a.fast += float64(d.Work) / float64(fastWindow)
+	a.slow += float64(d.Work) / float64(slowWindow)
 }
 
 func (a *arrival) forget(now time.Time) {
@@ -58,14 +63,22 @@
 	}
 }
 
-// Report sums up the pool for whoever sizes the pools and carries out upkeep.
-// The cordons replace those that were set before.
-func (p *Pool) Report(now time.Time, cordons map[work.TargetID]CordonReason) sizer.Pool {
+// Directions are what whoever steers the VMs tells a pool.
+type Directions struct {
+	// Cordons replace those that were set before.
+	Cordons map[work.TargetID]CordonReason `cbor:"1,keyasint,omitempty"`
+	// Reserve is the room that is on its way to the pool, or can be lent to it.
+	Reserve work.Millicores `cbor:"2,keyasint,omitempty"`
+}
+
+// Report follows the directions and sums up the pool for whoever sizes the pools and carries out upkeep.
+func (p *Pool) Report(now time.Time, d Directions) sizer.Pool {
+	p.reserve = d.Reserve
 	p.arrival.decay(now)
 	p.arrival.forget(now)
-	out := sizer.Pool{ID: p.ID, Arrival: work.Millicores(1000 * p.arrival.rate)}
+	out := sizer.Pool{ID: p.ID, Arrival: work.Millicores(1000 * max(p.arrival.fast, p.arrival.slow))}
 	for _, t := range p.sorted() {
-		p.Cordon(t.ID, cordons[t.ID])
+		p.Cordon(t.ID, d.Cordons[t.ID])
 		if !t.registered {
 			continue
 		}
--- a/internal/jobs/target.go
+++ b/internal/jobs/target.go
@@ -141,8 +141,9 @@
 	}
 }
 
-// Uncordon ends all cordons.
-func (p *Pool) Uncordon() {
+// Undirected ends all cordons and the reserve, since nobody steers the VMs any more.
+func (p *Pool) Undirected() {
+	p.reserve = 0
 	for id := range p.targets {
 		p.Cordon(id, NoCordon)
 	}
--- a/internal/jobs/tick.go
+++ b/internal/jobs/tick.go
@@ -180,7 +180,7 @@
 
 // load sums up what the pool has to do.
 func (p *Pool) load(now time.Time) admit.Load {
-	l := admit.Load{Jobs: len(p.active)}
+	l := admit.Load{Jobs: len(p.active), Reserve: float64(p.reserve) / 1000}
 	for _, j := range p.active {
 		if !j.spec.Lasting() {
 			_, total := p.remaining(j)
--- a/internal/shard/calls.go
+++ b/internal/shard/calls.go
@@ -87,13 +87,13 @@
 	return n, err
 }
 
-// Report sets the cordons of a pool and returns its state.
-func (s *Shard) Report(ctx context.Context, pool ident.PoolID, cordons map[work.TargetID]jobs.CordonReason) (r sizer.Pool, err error) {
+// Report gives directions to a pool and returns its state.
+func (s *Shard) Report(ctx context.Context, pool ident.PoolID, d jobs.Directions) (r sizer.Pool, err error) {
 	reply := make(chan error, 1)
 	err = s.wait(ctx, reply, func(now time.Time) {
 		p := s.pool(pool)
-		p.cordoned = now
-		r = p.Report(now, cordons)
+		p.directed = now
+		r = p.Report(now, d)
 		reply <- nil
 	})
 	return r, err
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -37,8 +37,8 @@
 	maxStuck = 300 * time.Millisecond
 	// expirePeriod is how often finished jobs are looked through.
 	expirePeriod = 5 * time.Second
-	// cordonTime is how long cordons hold without being set again; whoever steers sets them each 200 ms.
-	cordonTime = 2 * time.Second
+	// directedTime is how long directions hold without being given again; whoever steers does so several times a second.
+	directedTime = 2 * time.Second
 	// freshTimeout bounds the wait for the live list at a takeover; an old list only delays the first starts.
 	freshTimeout = 600 * time.Millisecond
 	// closeTimeout bounds the last write of an owner that hands over.
@@ -104,11 +104,10 @@
 // pool is one pool with what surrounds its state machine.
 type pool struct {
 	*jobs.Pool
-	agents  map[work.TargetID]*agentHandle
-	waiters []waiter
-	durable jobs.Flush
-	// cordoned is when the cordons were last set.
-	cordoned time.Time
+	agents   map[work.TargetID]*agentHandle
+	waiters  []waiter
+	durable  jobs.Flush
+	directed time.Time // when directions were last given
 }
 
 type agentHandle struct {
@@ -335,8 +334,8 @@
 	for _, p := range s.pools {
 		s.refresh(now, p)
 		p.Tick(now)
-		if now.Sub(p.cordoned) > cordonTime {
-			p.Uncordon()
+		if now.Sub(p.directed) > directedTime {
+			p.Undirected()
 		}
 	}
 	if now.Sub(s.expired) > expirePeriod {
--- a/internal/sizer/sizer.go
+++ b/internal/sizer/sizer.go
@@ -225,11 +225,41 @@
 	return moves
 }
 
-// Spare returns how many VMs each pool has beyond its need; negative for a pool that is short.
-func Spare(pools []Pool) map[ident.PoolID]int {
-	out := map[ident.PoolID]int{}
+// Size is how many VMs a pool has, and how many it needs.
+type Size struct {
+	Have int
+	Need int
+	Idle int
+}
+
+// Spare is how many VMs the pool has beyond its need; negative if it is short.
+func (s Size) Spare() int { return s.Have - s.Need }
+
+// Sizes returns the sizes of the pools.
+func Sizes(pools []Pool) map[ident.PoolID]Size {
+	out := map[ident.PoolID]Size{}
 	for _, p := range newState(pools).pools {
-		out[p.ID] = p.spare()
+		out[p.ID] = Size{Have: p.have, Need: p.need, Idle: len(p.idle)}
+	}
+	return out
+}
+
+// Reserve returns the room that is on its way to each pool, or that others could lend it.
+func Reserve(pools []Pool) map[ident.PoolID]work.Millicores {
+	s := newState(pools)
+	total := work.Millicores(0)
+	idle := map[ident.PoolID]work.Millicores{}
+	for _, p := range s.pools {
+		for i, t := range p.idle {
+			if p.Parked || i < p.spare() {
+				idle[p.ID] += t.Room.CPU
+				total += t.Room.CPU
+			}
+		}
+	}
+	out := map[ident.PoolID]work.Millicores{}
+	for _, p := range s.pools {
+		out[p.ID] = p.Incoming + total - idle[p.ID]
 	}
 	return out
 }
--- a/internal/steer/plan.go
+++ b/internal/steer/plan.go
@@ -48,7 +48,7 @@
 // planWaves chooses the VMs to cordon for upkeep and returns those that are empty.
 func (s *Steer) planWaves(now time.Time, machines map[work.MachineID]work.Machine, pools []sizer.Pool, next cordonSet) []ready {
 	byMachine := targetsByMachine(pools)
-	spare := sizer.Spare(pools)
+	sizes := sizer.Sizes(pools)
 	parked := map[ident.PoolID]bool{}
 	for _, p := range pools {
 		parked[p.ID] = p.Parked
@@ -65,7 +65,7 @@
 			if !listed || m.State != work.MachineUp || st.has(id) || !s.free(now, id) {
 				continue
 			}
-			x := upkeep.Machine{ID: id, Pool: m.Pool, Off: parked[m.Pool], Spare: spare[m.Pool]}
+			x := upkeep.Machine{ID: id, Pool: m.Pool, Off: parked[m.Pool], Spare: sizes[m.Pool].Spare()}
 			if t := byMachine[id]; t != nil {
 				x.Runs, x.Lasting = t.Runs, t.Lasting
 				x.Cordoned = s.cordons[m.Pool][t.ID] == jobs.CordonUpkeep
@@ -119,6 +119,8 @@
 			}
 		}
 	}
+	s.reserve = sizer.Reserve(pools)
+	s.logSizes(now, pools)
 	byMachine := targetsByMachine(pools)
 	var out []ready
 	for _, m := range sizer.Decide(pools) {
@@ -135,6 +137,24 @@
 	return out
 }
 
+// logSizes tells once in a while how large the pools are and should be.
+func (s *Steer) logSizes(now time.Time, pools []sizer.Pool) {
+	if now.Sub(s.logged) < sizesPeriod {
+		return
+	}
+	s.logged = now
+	sizes := sizer.Sizes(pools)
+	for i := range pools {
+		p := &pools[i]
+		z := sizes[p.ID]
+		s.Logger.Info("pool size", "pool", p.ID, "have", z.Have, "need", z.Need, "idle", z.Idle, "incoming_cpu", p.Incoming, "running_cpu", p.Running.CPU,
+			"runnable_cpu", p.Runnable.CPU, "lasting_cpu", p.Lasting.CPU, "arrival_cpu", p.Arrival)
+	}
+}
+
+// sizesPeriod bounds the lines about sizes.
+const sizesPeriod = time.Second
+
 // publish tells operators how far the waves are.
 func (s *Steer) publish(ctx context.Context, machines map[work.MachineID]work.Machine) error {
 	now := s.Clock.Now()
--- a/internal/steer/steer.go
+++ b/internal/steer/steer.go
@@ -19,7 +19,7 @@
 
 const (
 	// period is the time between two rounds.
-	period = 200 * time.Millisecond
+	period = 120 * time.Millisecond
 	// reportTimeout bounds the collection of the pools' reports.
 	reportTimeout = 400 * time.Millisecond
 	// cloudTimeout bounds a call to the machine service, which answers in some milliseconds when it is well.
@@ -34,8 +34,8 @@
 
 // Pools reaches the owners of the pools.
 type Pools interface {
-	// Report sets the cordons of a pool and returns its state.
-	Report(ctx context.Context, pool ident.PoolID, cordons map[work.TargetID]jobs.CordonReason) (sizer.Pool, error)
+	// Report gives directions to a pool and returns its state.
+	Report(ctx context.Context, pool ident.PoolID, d jobs.Directions) (sizer.Pool, error)
 	// Configured returns the pools of the configuration.
 	Configured() []work.PoolConfig
 	// Waves returns the waves that operators have asked for.
@@ -60,9 +60,11 @@
 	Logger     hclog.Logger
 
 	store   *store
+	logged  time.Time // the last line about sizes
 	mu      sync.Mutex
 	orders  map[work.MachineID]*order // that have not been seen to take effect
 	cordons map[ident.PoolID]map[work.TargetID]jobs.CordonReason
+	reserve map[ident.PoolID]work.Millicores
 }
 
 // order is an order for one VM.
@@ -152,7 +154,7 @@
 			continue
 		}
 		wg.Go(func() {
-			r, err := s.Pools.Report(ctx, c.ID, s.cordons[c.ID])
+			r, err := s.Pools.Report(ctx, c.ID, jobs.Directions{Cordons: s.cordons[c.ID], Reserve: s.reserve[c.ID]})
 			if err != nil {
 				s.Logger.Debug("no report of a pool", "pool", c.ID, "error", err)
 				return
--- a/internal/upkeep/upkeep.go
+++ b/internal/upkeep/upkeep.go
@@ -30,11 +30,11 @@
 
 const (
 	// emptying is what a VM with tasks takes to become empty, as a rule.
-	emptying = 2 * time.Second
+	emptying = time.Second
 	// rejoining is what a VM takes from the end of its upkeep until it serves again.
 	rejoining = time.Second
 	// slackFactor is how many times the time that the rest of a wave needs must be left, or else load no longer counts.
-	slackFactor = 1.6
+	slackFactor = 1.4
 )
 
 // Choose returns the VMs to empty and take down next, at most as many as the wave allows at once.
