Prove the ownership before a job is said not to exist; end an owner that a target has fenced

Ruled out: a lost cancel record, jobs restored twice. Change: unknown jobs are denied only after a write under the own epoch; a refusal needs a confirmation under 1 s old; a target that has seen a later owner ends the shard.

--- /dev/null
+++ b/internal/fakes/log.go
@@ -0,0 +1,227 @@
+package fakes
+
+import (
+	"cmp"
+	"context"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/toucanhatch/toucanhatch/internal/plog"
+	"github.com/toucanhatch/toucanhatch/pkg/ident"
+)
+
+// Log is an in-memory log of keyed topics with fenced writers and a group. Its zero value is ready for use.
+type Log struct {
+	// Before, if set, runs before each call and may fail it; the call is then
+	// not carried out unless apply is set.
+	Before func(call string, to plog.TopicPartition) (apply bool, err error)
+	// Parts is the number of partitions of a topic; 1 if it isn't set.
+	Parts int
+
+	mu     sync.Mutex
+	parts  map[plog.TopicPartition]*fakePart
+	groups map[string]*fakeGroup
+}
+
+type fakePart struct {
+	records []plog.Record // all that was appended
+	newest  map[string][]byte
+	epoch   plog.Epoch
+	seq     int64
+	changed chan struct{}
+}
+
+type fakeGroup struct {
+	generation plog.Generation
+	members    map[plog.MemberID]time.Time // until when each is a member
+	topics     map[plog.Topic]bool
+	dealt      map[plog.TopicPartition]plog.MemberID
+}
+
+func (l *Log) part(p plog.TopicPartition) *fakePart {
+	if l.parts == nil {
+		l.parts = map[plog.TopicPartition]*fakePart{}
+	}
+	x := l.parts[p]
+	if x == nil {
+		x = &fakePart{newest: map[string][]byte{}, changed: make(chan struct{})}
+		l.parts[p] = x
+	}
+	return x
+}
+
+// before runs the fault hook and reports whether the call is to be carried out.
+func (l *Log) before(call string, to plog.TopicPartition) (bool, error) {
+	if l.Before == nil {
+		return true, nil
+	}
+	apply, err := l.Before(call, to)
+	return apply || err == nil, err
+}
+
+// Append implements plog.Log.
+func (l *Log) Append(_ context.Context, to plog.TopicPartition, w plog.Writer, records []plog.Record) error {
+	apply, fault := l.before("append", to)
+	if !apply {
+		return fault
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	p := l.part(to)
+	switch {
+	case w.Epoch < p.epoch:
+		return cmp.Or(fault, plog.ErrFenced)
+	case w.Epoch == p.epoch && w.Seq <= p.seq && w.Seq > p.seq-5:
+		return fault // a repeat
+	case w.Epoch == p.epoch && w.Seq != p.seq+1:
+		return &plog.SeqError{Expected: p.seq + 1}
+	}
+	p.epoch, p.seq = w.Epoch, w.Seq
+	for _, r := range records {
+		p.records = append(p.records, r)
+		if len(r.Value) == 0 {
+			delete(p.newest, r.Key)
+		} else {
+			p.newest[r.Key] = r.Value
+		}
+	}
+	close(p.changed)
+	p.changed = make(chan struct{})
+	return fault
+}
+
+// Newest implements plog.Log.
+func (l *Log) Newest(_ context.Context, from plog.TopicPartition, after string) (plog.Page, error) {
+	if apply, err := l.before("newest", from); !apply || err != nil {
+		return plog.Page{}, err
+	}
+	const pageSize = 50
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	p := l.part(from)
+	page := plog.Page{End: ident.Offset(len(p.records))}
+	for _, key := range slices.Sorted(maps.Keys(p.newest)) {
+		if key <= after {
+			continue
+		}
+		if len(page.Records) == pageSize {
+			page.More = true
+			break
+		}
+		page.Records = append(page.Records, plog.Record{Key: key, Value: p.newest[key]})
+	}
+	return page, nil
+}
+
+// Read implements plog.Log.
+func (l *Log) Read(ctx context.Context, from plog.TopicPartition, offset ident.Offset, wait time.Duration) ([]plog.Record, ident.Offset, error) {
+	if apply, err := l.before("read", from); !apply || err != nil {
+		return nil, offset, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	for {
+		l.mu.Lock()
+		p := l.part(from)
+		if int(offset) < len(p.records) {
+			out := slices.Clone(p.records[offset:])
+			l.mu.Unlock()
+			return out, offset + ident.Offset(len(out)), nil
+		}
+		changed := p.changed
+		l.mu.Unlock()
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return nil, offset, nil
+		}
+	}
+}
+
+// Join implements plog.Log.
+func (l *Log) Join(_ context.Context, m plog.Membership) (plog.Assignment, error) {
+	if apply, err := l.before("join", plog.TopicPartition{}); !apply || err != nil {
+		return plog.Assignment{}, err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.groups == nil {
+		l.groups = map[string]*fakeGroup{}
+	}
+	g := l.groups[m.Group]
+	if g == nil {
+		g = &fakeGroup{members: map[plog.MemberID]time.Time{}, topics: map[plog.Topic]bool{}}
+		l.groups[m.Group] = g
+	}
+	_, member := g.members[m.Member]
+	g.members[m.Member] = time.Now().Add(m.TTL)
+	for _, t := range m.Topics {
+		g.topics[t] = true
+	}
+	if g.expire() || !member {
+		g.deal(max(1, l.Parts))
+	}
+	return g.assignment(m.Member), nil
+}
+
+func (g *fakeGroup) expire() bool {
+	gone := false
+	for id, until := range g.members {
+		if time.Now().After(until) {
+			delete(g.members, id)
+			gone = true
+		}
+	}
+	return gone
+}
+
+// deal gives the partitions out in the order of the members' names.
+func (g *fakeGroup) deal(parts int) {
+	g.generation++
+	g.dealt = map[plog.TopicPartition]plog.MemberID{}
+	members := slices.Sorted(maps.Keys(g.members))
+	if len(members) == 0 {
+		return
+	}
+	for topic := range g.topics {
+		for n := range parts {
+			g.dealt[plog.TopicPartition{Topic: topic, Partition: plog.Partition(n)}] = members[n%len(members)]
+		}
+	}
+}
+
+func (g *fakeGroup) assignment(id plog.MemberID) plog.Assignment {
+	a := plog.Assignment{Generation: g.generation}
+	for p, holder := range g.dealt {
+		if holder == id {
+			a.Held = append(a.Held, p)
+		}
+	}
+	return a
+}
+
+// Leave implements plog.Log.
+func (l *Log) Leave(_ context.Context, m plog.Membership) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if g := l.groups[m.Group]; g != nil {
+		delete(g.members, m.Member)
+		g.deal(max(1, l.Parts))
+	}
+	return nil
+}
+
+// Holders implements plog.Log.
+func (l *Log) Holders(_ context.Context, group string) ([]plog.Holder, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var out []plog.Holder
+	if g := l.groups[group]; g != nil {
+		for p, id := range g.dealt {
+			out = append(out, plog.Holder{TopicPartition: p, Member: id})
+		}
+	}
+	return out, nil
+}
--- a/internal/shard/calls.go
+++ b/internal/shard/calls.go
@@ -44,6 +44,10 @@
 		}
 		a := p.Submit(now, id, queue, spec)
 		if a.Refused {
+			if !s.confirmedWithin(refuseTime) { // a later owner may know the job
+				reply <- ErrNotOwner
+				return
+			}
 			reply <- &RefusedError{RetryAfter: a.RetryAfter}
 			return
 		}
@@ -58,7 +62,7 @@
 		p := s.pool(pool)
 		flush, ok := p.Cancel(now, id)
 		if known = ok; !ok {
-			reply <- nil
+			s.prove(reply)
 			return
 		}
 		s.whenDurable(p, waiter{flush: flush, job: id, reply: reply})
@@ -72,6 +76,10 @@
 	err = s.wait(ctx, reply, func(time.Time) {
 		p := s.pool(pool)
 		state, known = p.State(id, p.durable)
+		if !known {
+			s.prove(reply)
+			return
+		}
 		reply <- nil
 	})
 	return state, known, err
@@ -99,6 +107,10 @@
 	return r, err
 }
 
+// prove replies once a write has shown that no later owner exists: without
+// that, a job that is not known here may be known there.
+func (s *Shard) prove(reply chan error) { s.probes = append(s.probes, reply) }
+
 func (s *Shard) whenDurable(p *pool, w waiter) {
 	if w.flush <= p.durable {
 		w.reply <- nil
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -37,6 +37,8 @@
 	maxStuck = 300 * time.Millisecond
 	// expirePeriod is how often finished jobs are looked through.
 	expirePeriod = 5 * time.Second
+	// refuseTime is how long a refusal holds without a confirmation; the group passes partitions on after a longer silence.
+	refuseTime = time.Second
 	// directedTime is how long directions hold without being given again; whoever steers does so several times a second.
 	directedTime = 2 * time.Second
 	// freshTimeout bounds the wait for the live list at a takeover; an old list only delays the first starts.
@@ -94,6 +96,7 @@
 	stop    context.CancelFunc
 	pools   map[ident.PoolID]*pool
 	write   *write
+	probes  []chan error // requests that wait for a proof of ownership
 	seq     int64
 	expires []plog.Record
 	expired time.Time
@@ -242,6 +245,9 @@
 		}
 		p.waiters = nil
 	}
+	for _, reply := range s.probes {
+		reply <- ErrNotOwner
+	}
 	s.Logger.Info("partition given up", "partition", s.Partition, "epoch", s.Epoch)
 }
 
@@ -328,7 +334,9 @@
 }
 
 // confirmed reports whether orders may be given.
-func (s *Shard) confirmed() bool { return s.Clock.Now().Sub(s.Confirmed()) < confirmTime }
+func (s *Shard) confirmed() bool { return s.confirmedWithin(confirmTime) }
+
+func (s *Shard) confirmedWithin(d time.Duration) bool { return s.Clock.Now().Sub(s.Confirmed()) < d }
 
 func (s *Shard) tick(now time.Time) {
 	for _, p := range s.pools {
@@ -451,8 +459,13 @@
 	k.shard.post(func(time.Time) { k.pool.Paced(o.Target, o.Task, o.Attempt, acked) })
 }
 
+// Fenced ends the shard: what a later owner knows is newer, and only it may answer clients.
 func (k *sink) Fenced() {
-	k.shard.Logger.Warn("a target has seen a later owner", "partition", k.shard.Partition, "epoch", k.shard.Epoch)
+	s := k.shard
+	if s.ctx.Err() == nil {
+		s.Logger.Warn("ownership lost: a target has seen a later owner", "partition", s.Partition, "epoch", s.Epoch)
+		s.stop()
+	}
 }
 
 func (k *sink) Confirmed() bool { return k.shard.confirmed() }
--- /dev/null
+++ b/internal/shard/shard_test.go
@@ -0,0 +1,128 @@
+package shard
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/toucanhatch/toucanhatch/internal/agent"
+	"github.com/toucanhatch/toucanhatch/internal/clock"
+	"github.com/toucanhatch/toucanhatch/internal/fakes"
+	"github.com/toucanhatch/toucanhatch/internal/plog"
+	"github.com/toucanhatch/toucanhatch/internal/work"
+	"github.com/toucanhatch/toucanhatch/pkg/ident"
+)
+
+// noTargets is a platform without targets.
+type noTargets struct{}
+
+func (noTargets) Caller(work.Registration) agent.Caller              { return nil }
+func (noTargets) Snapshot(ident.PoolID) []work.Registration          { return nil }
+func (noTargets) Life(work.MachineID) (id work.TargetID, born int64) { return "", 0 }
+func (noTargets) Fresh(context.Context)                              {}
+func start(t *testing.T, log plog.Log, epoch plog.Epoch) *Shard {
+	t.Helper()
+	s := &Shard{
+		Parts: 1, Epoch: epoch, Log: log, Targets: noTargets{}, Clock: clock.System(), Logger: hclog.NewNullLogger(),
+		Queues: func() []work.Queue { return nil }, WallOffset: func() time.Duration { return 0 }, Confirmed: time.Now,
+	}
+	s.Init(context.Background())
+	go s.Run()
+	t.Cleanup(s.Stop)
+	<-s.Ready()
+	return s
+}
+
+var (
+	testQueue = work.Queue{ID: "q", Pool: "p", MaxAttempts: 2, SlackFactor: 2, Objective: time.Second}
+	testSpec  = &work.Spec{Steps: []work.Step{{Count: 1, Need: work.Resources{CPU: 100}, Estimate: time.Second}}}
+)
+
+// Guards against an owner that doesn't know of its successor and says that a
+// job doesn't exist (UNASKED, umurimo-hatch hunt-35d6-3: the cancel was answered 410).
+func TestFormerOwnerDenysNoJob(t *testing.T) {
+	log := &fakes.Log{}
+	former := start(t, log, 1)
+	present := start(t, log, 2)
+	ctx := t.Context()
+	if err := present.Submit(ctx, testQueue, "0000000000000001", testSpec); err != nil {
+		t.Fatalf("submit: %v", err)
+	}
+	if known, err := former.Cancel(ctx, "p", "0000000000000001"); err == nil {
+		t.Errorf("the former owner answers a cancel with known = %v, want an error", known)
+	}
+	if _, known, err := present.State(ctx, "p", "0000000000000002"); err != nil || known {
+		t.Errorf("state of an unknown job: known %v, error %v, want false without an error", known, err)
+	}
+}
+
+// Guards against a job that is refused although a write that may still take effect names it.
+func TestUnansweredWriteIsNoRefusal(t *testing.T) {
+	log := &fakes.Log{}
+	s := start(t, log, 1)
+	var calls atomic.Int32
+	log.Before = func(call string, _ plog.TopicPartition) (bool, error) {
+		if call == "append" && calls.Add(1) == 1 {
+			return true, plog.ErrNoAnswer // carried out
+		}
+		if call == "append" && calls.Load() == 2 {
+			return false, plog.ErrRefused // the repeat is refused, which says nothing of the first
+		}
+		return true, nil
+	}
+	if err := s.Submit(t.Context(), testQueue, "0000000000000001", testSpec); err != nil {
+		t.Errorf("submit: %v, want success after the write was answered", err)
+	}
+}
+
+// Guards against false refusals, and against jobs that are stored after their refusal.
+func TestRefusedWriteStoresNothing(t *testing.T) {
+	log := &fakes.Log{}
+	s := start(t, log, 1)
+	var down atomic.Bool
+	down.Store(true)
+	log.Before = func(call string, _ plog.TopicPartition) (bool, error) {
+		if call == "append" && down.Load() {
+			return false, plog.ErrRefused
+		}
+		return true, nil
+	}
+	if err := s.Submit(t.Context(), testQueue, "0000000000000001", testSpec); !errors.Is(err, ErrNotStored) {
+		t.Fatalf("submit: %v, want %v", err, ErrNotStored)
+	}
+	down.Store(false)
+	time.Sleep(2 * refusedPause)
+	if err := s.Submit(t.Context(), testQueue, "0000000000000002", testSpec); err != nil {
+		t.Fatalf("submit: %v", err)
+	}
+	page, err := log.Newest(t.Context(), s.position(), "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, r := range page.Records {
+		if r.Key == "0000000000000001" {
+			t.Error("the refused job is stored")
+		}
+	}
+}
+
+// Guards against jobs that are lost when their owner is replaced.
+func TestSuccessorKnowsStoredJobs(t *testing.T) {
+	log := &fakes.Log{}
+	former := start(t, log, 1)
+	if err := former.Submit(t.Context(), testQueue, "0000000000000001", testSpec); err != nil {
+		t.Fatalf("submit: %v", err)
+	}
+	present := start(t, log, 2)
+	state, known, err := present.State(t.Context(), "p", "0000000000000001")
+	if err != nil || !known || state != work.Queued {
+		t.Errorf("state %q, known %v, error %v, want %q", state, known, err, work.Queued)
+	}
+	if err := former.Submit(t.Context(), testQueue, "0000000000000002", testSpec); err == nil {
+		t.Error("the former owner stores a job")
+	}
+}
--- a/internal/shard/write.go
+++ b/internal/shard/write.go
@@ -32,6 +32,7 @@
 	flushes map[*pool]jobs.Flush
 	records map[*pool][]*jobs.Record
 	unsure  bool // an attempt got no answer
+	probes  []chan error
 }
 
 // startWrite writes all changes, unless a write is in flight or the last one was refused just now.
@@ -57,9 +58,10 @@
 			records = append(records, plog.Record{Key: string(r.ID), Value: value})
 		}
 	}
-	if len(records) == 0 {
+	if len(records) == 0 && len(s.probes) == 0 {
 		return
 	}
+	w.probes, s.probes = s.probes, nil
 	s.write = w
 	go s.append(w, records)
 }
@@ -91,7 +93,7 @@
 		}
 		size += n
 	}
-	return append(out, records[from:])
+	return append(out, records[from:]) // an empty write proves the ownership
 }
 
 func (s *Shard) appendChunk(w *write, chunk []plog.Record) error {
@@ -127,6 +129,9 @@
 	switch {
 	case err == nil:
 		s.write = nil
+		for _, reply := range w.probes {
+			reply <- nil
+		}
 		for p, flush := range w.flushes {
 			p.durable = flush
 			p.Durable(now, flush)
@@ -135,10 +140,16 @@
 	case errors.Is(err, plog.ErrRefused):
 		s.Logger.Info("write refused", "partition", s.Partition, "error", err)
 		s.refused(now, w)
+		for _, reply := range w.probes {
+			reply <- ErrNotStored
+		}
 		s.Clock.AfterFunc(refusedPause, func() {
 			s.post(func(time.Time) { s.write = nil })
 		})
 	default:
+		for _, reply := range w.probes {
+			reply <- ErrNotOwner
+		}
 		s.Logger.Warn("ownership lost", "partition", s.Partition, "epoch", s.Epoch, "error", err)
 		s.stop()
 	}
