Plan at most each 10 ms and keep sums of what is left; gather log lines

Cause: on the grown deployment the owner of a pool of 70 targets spent its processor on planning: each event sorted all targets and walked all jobs and steps. Ruled out: the store (20 MB, no refusals) and the network (23 MB between zones). Change: coalesced rounds, sums of chain and work kept per occurrence, runs of a target in order, one log line a job and round instead of one a task, log lines written in batches.

--- a/cmd/toucanjobd/main.go
+++ b/cmd/toucanjobd/main.go
@@ -16,6 +16,7 @@
 	"github.com/toucanhatch/toucanhatch/internal/agent"
 	"github.com/toucanhatch/toucanhatch/internal/clock"
 	"github.com/toucanhatch/toucanhatch/internal/jobd"
+	"github.com/toucanhatch/toucanhatch/internal/logio"
 	"github.com/toucanhatch/toucanhatch/internal/work"
 	"github.com/toucanhatch/toucanhatch/platform"
 )
@@ -64,7 +65,9 @@
 }
 
 func run(ctx context.Context, path string, s *jobd.Settings) error {
-	logger := hclog.New(&hclog.LoggerOptions{Level: hclog.LevelFromString(s.LogLevel), JSONFormat: true, Output: os.Stdout})
+	out := logio.New(os.Stdout)
+	defer out.Flush()
+	logger := hclog.New(&hclog.LoggerOptions{Level: hclog.LevelFromString(s.LogLevel), JSONFormat: true, Output: out})
 	ctx, cancel := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
 	defer cancel()
 	log := &platform.Log{Addr: s.Log.Address, Parts: s.Log.Parts, Counts: func(call, outcome string, took time.Duration) {
--- a/internal/jobd/daemon.go
+++ b/internal/jobd/daemon.go
@@ -328,7 +328,10 @@
 }
 
 func (d *Daemon) logEvent(e jobs.Event) {
-	args := []any{"job", e.Job}
+	var args []any
+	if e.Job != "" {
+		args = append(args, "job", e.Job)
+	}
 	if e.Queue != "" {
 		args = append(args, "queue", e.Queue)
 	}
--- a/internal/jobs/end.go
+++ b/internal/jobs/end.go
@@ -1,6 +1,7 @@
 package jobs
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/toucanhatch/toucanhatch/internal/work"
@@ -9,7 +10,9 @@
 // ended takes in an end that a target lists.
 func (p *Pool) ended(now time.Time, t *target, row *work.EndRow) {
 	key := runKey{row.Task, row.Attempt}
-	p.event(Event{Kind: EventEnded, Job: row.Task.Job, Task: row.Task, Attempt: row.Attempt, Target: t.ID, Detail: string(row.Kind)})
+	if p.Events != nil {
+		fmt.Fprintf(&p.ends, "%v#%d:%s ", row.Task, row.Attempt, row.Kind)
+	}
 	r := t.runs[key]
 	j := p.jobs[row.Task.Job]
 	if j == nil || j.over() {
--- a/internal/jobs/job.go
+++ b/internal/jobs/job.go
@@ -20,13 +20,17 @@
 	storedBy    Flush // the write that first stores the job
 	changed     Flush // the write that stores its last change
 	began       bool
-	tasks       int // tasks of one occurrence
+	chain       time.Duration // longest chain of steps, by the client's estimates
+	work        time.Duration // processor time of one occurrence, by the client's estimates
 }
 
 type occurrence struct {
 	n     int
 	steps []stepState
 	left  int // steps that are not done
+	// What is left by the client's estimates; times the queue's ratio it is expected.
+	chainLeft time.Duration // longest chain of steps that are not done
+	workLeft  time.Duration // processor time of tasks that are not done, of one core
 }
 
 type stepState struct {
@@ -51,9 +55,8 @@
 
 func newJob(id work.JobID, queue work.QueueID, spec *work.Spec, accepted time.Time) *job {
 	j := &job{id: id, queue: queue, spec: spec, accepted: accepted, left: spec.Occurrences()}
-	for i := range spec.Steps {
-		j.tasks += spec.Steps[i].Count
-	}
+	j.chain = longestChain(spec, nil)
+	j.work = totalWork(spec)
 	return j
 }
 
@@ -78,6 +81,7 @@
 		st := &spec.Steps[i]
 		o.steps[i] = stepState{tasks: make([]task, st.Count), left: st.Count, waiting: st.Count, blockers: len(st.After)}
 	}
+	o.chainLeft, o.workLeft = longestChain(spec, nil), totalWork(spec)
 	return o
 }
 
@@ -103,10 +107,12 @@
 		st.waiting--
 	}
 	st.left--
+	o.workLeft -= taskWork(&j.spec.Steps[id.Step])
 	if st.left > 0 {
 		return false
 	}
 	o.left--
+	o.chainLeft = longestChain(j.spec, o)
 	for i := range j.spec.Steps {
 		for _, after := range j.spec.Steps[i].After {
 			if after == id.Step {
--- a/internal/jobs/plan.go
+++ b/internal/jobs/plan.go
@@ -1,7 +1,9 @@
 package jobs
 
 import (
+	"fmt"
 	"sort"
+	"strings"
 	"time"
 
 	"github.com/toucanhatch/toucanhatch/internal/order"
@@ -9,6 +11,9 @@
 	"github.com/toucanhatch/toucanhatch/internal/work"
 )
 
+// WantsPlan reports whether something has happened since the last round of planning that may let tasks start.
+func (p *Pool) WantsPlan() bool { return p.replan }
+
 // Plan gives waiting tasks to targets with room. The runs are planned only;
 // their start orders leave once their records are durable.
 func (p *Pool) Plan(now time.Time) {
@@ -22,6 +27,7 @@
 	}
 	for _, x := range p.ranked(now) {
 		p.planJob(now, x.job, floor)
+		p.notePlanned(x.job)
 		if floor.full() {
 			return
 		}
@@ -32,42 +38,38 @@
 type floor struct {
 	list    []place.Candidate
 	targets []*target
+	// most is the largest free amount of each resource, though not all on one target.
+	most work.Resources
 }
 
 // full reports whether no target has processor left, so that no further task needs to be tried.
-func (f *floor) full() bool {
+func (f *floor) full() bool { return f.most.CPU <= 0 || f.most.Memory <= 0 }
+
+func (f *floor) measure() {
+	f.most = work.Resources{}
 	for i := range f.list {
-		if f.list[i].Free.CPU > 0 && f.list[i].Free.Memory > 0 {
-			return false
-		}
+		free := &f.list[i].Free
+		f.most.CPU, f.most.Memory, f.most.GPU = max(f.most.CPU, free.CPU), max(f.most.Memory, free.Memory), max(f.most.GPU, free.GPU)
 	}
-	return true
 }
 
 func (p *Pool) candidates(now time.Time) *floor {
 	f := &floor{}
 	for _, t := range p.sorted() {
+		t.index = -1
 		if t.usable(now) {
 			f.targets = append(f.targets, t)
 		}
 	}
-	for _, t := range f.targets {
-		c := place.Candidate{
+	f.list = make([]place.Candidate, 0, len(f.targets))
+	for i, t := range f.targets {
+		t.index = i
+		f.list = append(f.list, place.Candidate{
 			ID: t.ID, Free: t.Room.Minus(t.used), Room: t.Room, Rack: t.Rack, Labels: t.Labels,
-			Suspect: t.verdict.Suspect(now), Busy: len(t.runs) > 0,
-		}
-		for _, r := range t.runs {
-			if r.spec == nil {
-				continue
-			}
-			if r.spec.Fills {
-				c.Filling++
-			} else if r.spec.Lasting {
-				c.Serving++
-			}
-		}
-		f.list = append(f.list, c)
+			Suspect: t.verdict.Suspect(now), Busy: len(t.runs) > 0, Serving: t.serving, Filling: t.filling,
+		})
 	}
+	f.measure()
 	return f
 }
 
@@ -116,49 +118,59 @@
 	}
 	return order.Job{
 		Lasting: j.spec.Lasting(), Priority: q.Priority, Waited: p.wall(now).Sub(since),
-		Objective: p.objective(q, j.spec), Remaining: remaining, Begun: j.began, Work: left,
+		Objective: p.objectiveOf(q, j.chain), Remaining: remaining, Begun: j.began, Work: left,
 	}
 }
 
 // objective is the time in which a job of the queue should be completed.
 func (p *Pool) objective(q work.Queue, spec *work.Spec) time.Duration {
-	chain, _ := p.chain(q.ID, spec, nil)
-	return time.Duration(q.SlackFactor*float64(chain)) + q.Objective
+	return p.objectiveOf(q, longestChain(spec, nil))
+}
+
+func (p *Pool) objectiveOf(q work.Queue, chain time.Duration) time.Duration {
+	return time.Duration(q.SlackFactor*p.ratio(q.ID)*float64(chain)) + q.Objective
 }
 
 // remaining returns the longest chain and the processor time of what is left of a job.
 func (p *Pool) remaining(j *job) (chain, total time.Duration) {
 	for _, o := range j.occurrences {
 		if o.left > 0 {
-			return p.chain(j.queue, j.spec, o)
+			ratio := p.ratio(j.queue)
+			return time.Duration(ratio * float64(o.chainLeft)), time.Duration(ratio * float64(o.workLeft))
 		}
 	}
 	return 0, 0
 }
 
-// chain returns the longest chain of the steps and their processor time, for one
-// core; with an occurrence, of those tasks that are not done.
-func (p *Pool) chain(q work.QueueID, spec *work.Spec, o *occurrence) (longest, total time.Duration) {
+// longestChain returns the longest chain of steps by the client's estimates;
+// with an occurrence, of those steps that are not done.
+func longestChain(spec *work.Spec, o *occurrence) time.Duration {
+	longest := time.Duration(0)
 	ends := make([]time.Duration, len(spec.Steps))
 	for i := range spec.Steps {
 		s := &spec.Steps[i]
-		left := s.Count
-		if o != nil {
-			left = o.steps[i].left
-		}
-		begin := time.Duration(0)
 		for _, after := range s.After {
-			begin = max(begin, ends[after])
+			ends[i] = max(ends[i], ends[after])
 		}
-		ends[i] = begin
-		if left > 0 {
-			one := p.expected(q, s)
-			ends[i] += one
-			total += time.Duration(float64(one) * float64(s.Need.CPU) / 1000 * float64(left))
+		if o == nil || o.steps[i].left > 0 {
+			ends[i] += s.Estimate
 		}
 		longest = max(longest, ends[i])
 	}
-	return longest, total
+	return longest
+}
+
+// taskWork returns the processor time of one task of a step, of one core.
+func taskWork(s *work.Step) time.Duration {
+	return time.Duration(float64(s.Estimate) * float64(s.Need.CPU) / 1000)
+}
+
+func totalWork(spec *work.Spec) time.Duration {
+	total := time.Duration(0)
+	for i := range spec.Steps {
+		total += time.Duration(spec.Steps[i].Count) * taskWork(&spec.Steps[i])
+	}
+	return total
 }
 
 func (p *Pool) planJob(now time.Time, j *job, f *floor) {
@@ -182,6 +194,9 @@
 
 func (p *Pool) planStep(now time.Time, j *job, o *occurrence, s int, f *floor) {
 	spec, st := &j.spec.Steps[s], &o.steps[s]
+	if !held(spec).Fits(f.most) {
+		return
+	}
 	tickets := p.ticketsFor(now, j, o.n, s, f)
 	if tickets == nil {
 		return // advice has been asked for
@@ -210,14 +225,8 @@
 		f.list[k].SameStep = 0
 	}
 	for i := range st.tasks {
-		r := st.tasks[i].run
-		if r == nil {
-			continue
-		}
-		for k := range f.targets {
-			if f.targets[k] == r.target {
-				f.list[k].SameStep++
-			}
+		if r := st.tasks[i].run; r != nil && r.target.index >= 0 {
+			f.list[r.target.index].SameStep++
 		}
 	}
 }
@@ -243,6 +252,7 @@
 func (f *floor) take(k int, spec *work.Step) {
 	c := &f.list[k]
 	c.Free = c.Free.Minus(held(spec))
+	f.measure()
 	c.SameStep++
 	c.Busy = true
 	if spec.Fills {
@@ -252,6 +262,18 @@
 	}
 }
 
+// notePlanned reports the runs of a job that were planned in this round in one event.
+func (p *Pool) notePlanned(j *job) {
+	if len(p.planned) > 0 && p.Events != nil {
+		var list strings.Builder
+		for _, r := range p.planned {
+			fmt.Fprintf(&list, "%d.%d.%d#%d@%s ", r.key.task.Occurrence, r.key.task.Step, r.key.task.Index, r.key.attempt, r.target.ID)
+		}
+		p.event(Event{Kind: EventPlanned, Job: j.id, Queue: j.queue, Detail: list.String()})
+	}
+	p.planned = p.planned[:0]
+}
+
 // start plans one run.
 func (p *Pool) start(now time.Time, j *job, occurrence, step, index int, t *target, ticket string) *run {
 	st := &j.occurrences[occurrence].steps[step]
@@ -266,7 +288,7 @@
 	p.attach(r, t)
 	p.held = append(p.held, r)
 	p.touch(j)
-	p.event(Event{Kind: EventPlanned, Job: j.id, Task: id, Attempt: tk.attempt, Target: t.ID})
+	p.planned = append(p.planned, r)
 	return r
 }
 
--- a/internal/jobs/pool.go
+++ b/internal/jobs/pool.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/toucanhatch/toucanhatch/internal/admit"
@@ -29,6 +30,7 @@
 	jobs       map[work.JobID]*job
 	active     []*job // jobs that are not finished
 	targets    map[work.TargetID]*target
+	byID       []*target // the same, in the order of their ids; nil after a change
 	dirty      map[work.JobID]*job
 	next       Flush // the number of the next write
 	durable    Flush // the last write that was confirmed
@@ -37,6 +39,8 @@
 	learned    map[work.QueueID]*ratio
 	advice     map[stepKey]*tickets
 	replan     bool
+	planned    []*run          // in the present round
+	ends       strings.Builder // of the present list, for the log
 	arrival    arrival
 	reserve    work.Millicores // room that can be lent to the pool
 }
@@ -268,12 +272,10 @@
 
 // sorted returns the targets in the order of their ids.
 func (p *Pool) sorted() []*target {
-	out := make([]*target, 0, len(p.targets))
-	for _, t := range p.targets {
-		out = append(out, t)
+	if p.byID == nil {
+		p.byID = slices.SortedFunc(maps.Values(p.targets), func(a, b *target) int { return cmp.Compare(a.ID, b.ID) })
 	}
-	slices.SortFunc(out, func(a, b *target) int { return cmp.Compare(a.ID, b.ID) })
-	return out
+	return p.byID
 }
 
 func (p *Pool) add(now time.Time, j *job) {
--- a/internal/jobs/run.go
+++ b/internal/jobs/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"slices"
 	"time"
 
 	"github.com/toucanhatch/toucanhatch/internal/work"
@@ -103,8 +104,10 @@
 func (p *Pool) attach(r *run, t *target) {
 	r.target = t
 	t.runs[r.key] = r
+	t.ordered = append(t.ordered, r)
 	if r.spec != nil {
 		t.used = t.used.Plus(held(r.spec))
+		t.count(r.spec, 1)
 	}
 	if r.task != nil {
 		r.task.run = r
@@ -112,6 +115,16 @@
 	}
 }
 
+// count adds n to the target's number of tasks of the step's kind.
+func (t *target) count(s *work.Step, n int) {
+	switch {
+	case s.Fills:
+		t.filling += n
+	case s.Lasting:
+		t.serving += n
+	}
+}
+
 // held is the room that a task takes; a task that fills takes no processor of its own.
 func held(s *work.Step) work.Resources {
 	need := s.Need
@@ -129,9 +142,14 @@
 	if r.state == runPlanned {
 		r.state = runStopping // its order never leaves
 	}
-	delete(r.target.runs, r.key)
-	if r.spec != nil {
-		r.target.used = r.target.used.Minus(held(r.spec))
+	t := r.target
+	if t.runs[r.key] == r {
+		delete(t.runs, r.key)
+		t.ordered = slices.DeleteFunc(t.ordered, func(x *run) bool { return x == r })
+		if r.spec != nil {
+			t.used = t.used.Minus(held(r.spec))
+			t.count(r.spec, -1)
+		}
 	}
 	if r.task != nil && r.task.run == r {
 		r.task.run = nil
--- a/internal/jobs/target.go
+++ b/internal/jobs/target.go
@@ -18,6 +18,10 @@
 	unheard    bool // the last request got no answer
 	used       work.Resources
 	runs       map[runKey]*run
+	ordered    []*run // the same runs, in the order in which they were planned
+	serving    int    // runs of lasting tasks that don't fill
+	filling    int    // runs of tasks that fill
+	index      int    // in the present round of planning; -1 if it takes no part
 	cordon     CordonReason
 	idleSince  time.Time
 	shunned    time.Time // no starts before
@@ -53,15 +57,9 @@
 	flush Flush
 }
 
-// list returns the runs in the order of their tasks, so that equal histories give equal orders.
-func (t *target) list() []*run {
-	out := make([]*run, 0, len(t.runs))
-	for _, r := range t.runs {
-		out = append(out, r)
-	}
-	slices.SortFunc(out, func(a, b *run) int { return a.key.compare(b.key) })
-	return out
-}
+// list returns a copy of the runs in the order in which they were planned, so
+// that they may be ended meanwhile and equal histories give equal orders.
+func (t *target) list() []*run { return slices.Clone(t.ordered) }
 
 // shun keeps new tasks off the target for d.
 func (t *target) shun(now time.Time, d time.Duration) {
@@ -90,6 +88,7 @@
 		t = &target{runs: map[runKey]*run{}}
 		t.ID = id
 		p.targets[id] = t
+		p.byID = nil
 	}
 	return t
 }
@@ -119,6 +118,7 @@
 func (p *Pool) forget(t *target) {
 	if !t.registered && len(t.runs) == 0 {
 		delete(p.targets, t.ID)
+		p.byID = nil
 	}
 }
 
@@ -203,6 +203,10 @@
 			p.ended(now, t, row)
 		}
 	}
+	if p.ends.Len() > 0 {
+		p.event(Event{Kind: EventEnded, Target: t.ID, Detail: p.ends.String()})
+		p.ends.Reset()
+	}
 	if n := len(t.acks); t.endSeq > t.acked && (n == 0 || t.acks[n-1].seq < t.endSeq) {
 		t.acks = append(t.acks, ackMark{t.endSeq, p.ackFlush()})
 	}
--- a/internal/jobs/tick.go
+++ b/internal/jobs/tick.go
@@ -207,9 +207,10 @@
 }
 
 func (p *Pool) demand(q work.Queue, spec *work.Spec) admit.Demand {
-	chain, total := p.chain(q.ID, spec, nil)
+	ratio := p.ratio(q.ID)
 	return admit.Demand{
-		Work: total, Chain: chain, Objective: p.objective(q, spec),
-		Lasting: spec.Lasting(), Scheduled: spec.Repeat > 0,
+		Work: time.Duration(ratio * float64(totalWork(spec))), Chain: time.Duration(ratio * float64(longestChain(spec, nil))),
+		Objective: p.objective(q, spec),
+		Lasting:   spec.Lasting(), Scheduled: spec.Repeat > 0,
 	}
 }
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -43,6 +43,8 @@
 	directedTime = 2 * time.Second
 	// freshTimeout bounds the wait for the live list at a takeover; an old list only delays the first starts.
 	freshTimeout = 600 * time.Millisecond
+	// planPause is short against the run time of tasks, and long against the time between events under load.
+	planPause = 10 * time.Millisecond
 	// closeTimeout bounds the last write of an owner that hands over.
 	closeTimeout = 500 * time.Millisecond
 	// leaseTime is given to targets with each request. It outlasts most cuts
@@ -89,19 +91,21 @@
 	// WriteTime is told how long each write took.
 	WriteTime func(time.Duration)
 
-	mail    chan func(now time.Time)
-	ready   chan struct{} // closed when the state has been read
-	done    chan struct{}
-	ctx     context.Context
-	stop    context.CancelFunc
-	pools   map[ident.PoolID]*pool
-	write   *write
-	probes  []chan error // requests that wait for a proof of ownership
-	seq     int64
-	expires []plog.Record
-	expired time.Time
-	begun   time.Time
-	closing bool // write what has changed, then end
+	mail      chan func(now time.Time)
+	ready     chan struct{} // closed when the state has been read
+	done      chan struct{}
+	ctx       context.Context
+	stop      context.CancelFunc
+	pools     map[ident.PoolID]*pool
+	write     *write
+	probes    []chan error // requests that wait for a proof of ownership
+	seq       int64
+	expires   []plog.Record
+	expired   time.Time
+	begun     time.Time
+	planned   time.Time // the last round of planning
+	planTimer bool
+	closing   bool // write what has changed, then end
 }
 
 // pool is one pool with what surrounds its state machine.
@@ -358,11 +362,7 @@
 
 // settle plans, sends the orders and starts a write, after a batch of events.
 func (s *Shard) settle(now time.Time) {
-	if !s.closing {
-		for _, p := range s.pools {
-			p.Plan(now)
-		}
-	}
+	s.plan(now)
 	s.startWrite(now)
 	for _, p := range s.pools {
 		for _, o := range p.Orders() {
@@ -374,6 +374,26 @@
 	}
 }
 
+// plan lets the pools plan, at most once in planPause: a busy pool gets many events between two rounds.
+func (s *Shard) plan(now time.Time) {
+	if s.closing {
+		return
+	}
+	if now.Sub(s.planned) >= planPause {
+		s.planned = now
+		for _, p := range s.pools {
+			p.Plan(now)
+		}
+		return
+	}
+	for _, p := range s.pools {
+		if p.WantsPlan() && !s.planTimer {
+			s.planTimer = true
+			s.Clock.AfterFunc(planPause, func() { s.post(func(time.Time) { s.planTimer = false }) })
+		}
+	}
+}
+
 func (s *Shard) dispatch(p *pool, o jobs.Order) {
 	var id work.TargetID
 	switch o := o.(type) {
