Postpone jobs that can't all be completed in time

Cause: in a burst of several times what a pool holds, the order by slack let all jobs progress and most of them end late. Change: jobs are taken by deadline; where the work exceeds what the cores do until then, the largest that has not begun goes behind (fewest late jobs). Ruled out: least work first throughout (starves the largest tenth).

--- a/internal/jobs/plan.go
+++ b/internal/jobs/plan.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"sort"
 	"strings"
 	"time"
 
@@ -26,8 +25,8 @@
 		return
 	}
 	for _, x := range p.ranked(now) {
-		p.planJob(now, x.job, floor)
-		p.notePlanned(x.job)
+		p.planJob(now, x, floor)
+		p.notePlanned(x)
 		if floor.full() {
 			return
 		}
@@ -73,23 +72,37 @@
 	return f
 }
 
-type rankedJob struct {
-	job  *job
-	rank order.Rank
-}
-
 // ranked returns the active jobs that have waiting tasks, first to last.
-func (p *Pool) ranked(now time.Time) []rankedJob {
-	var out []rankedJob
+func (p *Pool) ranked(now time.Time) []*job {
+	views := make([]order.Job, 0, len(p.active))
+	wants := false
 	for _, j := range p.active {
-		if j.wantsWork() {
-			out = append(out, rankedJob{j, order.Of(p.orderView(now, j))})
+		views = append(views, p.orderView(now, j))
+		wants = wants || j.wantsWork()
+	}
+	if !wants {
+		return nil
+	}
+	var out []*job
+	for _, x := range order.Sort(views, p.cores()) {
+		if j := p.active[x.Index]; j.wantsWork() {
+			out = append(out, j)
 		}
 	}
-	sort.SliceStable(out, func(a, b int) bool { return out[a].rank.Less(out[b].rank) })
 	return out
 }
 
+// cores is what the usable targets have for tasks that end.
+func (p *Pool) cores() float64 {
+	sum := work.Millicores(0)
+	for _, t := range p.targets {
+		if t.registered && !t.Draining && t.cordon == NoCordon && !t.unheard && t.life != 0 {
+			sum += t.Room.CPU - t.lastingCPU()
+		}
+	}
+	return float64(sum) / 1000
+}
+
 func (j *job) wantsWork() bool {
 	for _, o := range j.occurrences {
 		if o.left == 0 {
--- a/internal/jobs/run.go
+++ b/internal/jobs/run.go
@@ -123,6 +123,9 @@
 	case s.Lasting:
 		t.serving += n
 	}
+	if s.Lasting {
+		t.lasting += work.Millicores(n) * held(s).CPU
+	}
 }
 
 // held is the room that a task takes; a task that fills takes no processor of its own.
--- a/internal/jobs/target.go
+++ b/internal/jobs/target.go
@@ -18,10 +18,11 @@
 	unheard    bool // the last request got no answer
 	used       work.Resources
 	runs       map[runKey]*run
-	ordered    []*run // the same runs, in the order in which they were planned
-	serving    int    // runs of lasting tasks that don't fill
-	filling    int    // runs of tasks that fill
-	index      int    // in the present round of planning; -1 if it takes no part
+	ordered    []*run          // the same runs, in the order in which they were planned
+	lasting    work.Millicores // held by tasks that last
+	serving    int             // runs of lasting tasks that don't fill
+	filling    int             // runs of tasks that fill
+	index      int             // in the present round of planning; -1 if it takes no part
 	cordon     CordonReason
 	idleSince  time.Time
 	shunned    time.Time // no starts before
