Even out spare VMs over the pools

Cause: at the start of a turn the pool had five VMs while others kept up to eleven idle ones, and a move takes 1.5 s. Change: idle VMs move to the pool with the least to spare; parking only after 8 s.

--- a/internal/sizer/sizer.go
+++ b/internal/sizer/sizer.go
@@ -53,7 +53,11 @@
 	// cushion is the number of VMs that a pool keeps beyond its need, so that the next job finds room at once.
 	cushion = 1
 	// parkAfter is how long a VM must have been idle to be parked. A move costs what a VM in a pool costs in about 1.2 s.
-	parkAfter = 1500 * time.Millisecond
+	parkAfter = 8 * time.Second
+	// balanceAfter is how long a VM must have been idle to be moved to a pool that merely has less to spare.
+	balanceAfter = 400 * time.Millisecond
+	// balanceGap is the difference in spare VMs from which pools are evened out.
+	balanceGap = 3
 	// lendAfter is how long a VM must have been idle to be lent.
 	lendAfter = 150 * time.Millisecond
 )
@@ -88,6 +92,7 @@
 			moves = append(moves, m)
 		}
 	}
+	moves = append(moves, s.balance()...)
 	return append(moves, s.park()...)
 }
 
@@ -204,6 +209,34 @@
 	return Move{Machine: t.Machine, Target: t.ID, From: from.ID, To: to.ID, Reason: reason}, true
 }
 
+// balance spreads the VMs that are to spare over the pools: a pool whose turn
+// comes has some at once, while others take their time to move.
+func (s *state) balance() []Move {
+	var moves []Move
+	for {
+		var from, to *poolState
+		for _, p := range s.pools {
+			if p.Parked {
+				continue
+			}
+			if len(p.idle) > 0 && p.idle[0].IdleFor >= balanceAfter && (from == nil || p.spare() > from.spare()) {
+				from = p
+			}
+			if to == nil || p.spare() < to.spare() {
+				to = p
+			}
+		}
+		if from == nil || from == to || from.spare()-to.spare() < balanceGap {
+			return moves
+		}
+		m, ok := s.move(from, to, "the pool has less to spare")
+		if !ok {
+			return moves
+		}
+		moves = append(moves, m)
+	}
+}
+
 // park moves VMs that have been idle for long, and that their pool doesn't need, into the parked pool.
 func (s *state) park() []Move {
 	var moves []Move
