--- a/cmd/toucanjobd/main.go
+++ b/cmd/toucanjobd/main.go
@@ -4,20 +4,16 @@
 import (
 	"context"
 	"fmt"
-	"net/http"
 	"os"
 	"os/signal"
 	"syscall"
-	"time"
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/urfave/cli/v3"
 
-	"github.com/toucanhatch/toucanhatch/internal/agent"
 	"github.com/toucanhatch/toucanhatch/internal/clock"
 	"github.com/toucanhatch/toucanhatch/internal/jobd"
 	"github.com/toucanhatch/toucanhatch/internal/logio"
-	"github.com/toucanhatch/toucanhatch/internal/work"
 	"github.com/toucanhatch/toucanhatch/platform"
 )
 
@@ -70,25 +66,8 @@
 	logger := hclog.New(&hclog.LoggerOptions{Level: hclog.LevelFromString(s.LogLevel), JSONFormat: true, Output: out})
 	ctx, cancel := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
 	defer cancel()
-	log := &platform.Log{Addr: s.Log.Address, Parts: s.Log.Parts, Counts: func(call, outcome string, took time.Duration) {
-		jobd.CountLogCall(call, outcome, took)
-	}}
-	log.Open()
-	p := &jobd.Platform{
-		Log: log, Operator: platform.Operator, Targets: platform.Targets, Status: platform.Status,
-		ConfigKey: platform.ConfigKey, DecodeConfig: platform.DecodeConfig, DecodeTarget: platform.DecodeTarget,
-		NewCaller: func(id work.TargetID, addr string) agent.Caller { return platform.NewTarget(id, addr) },
-		IsWave:    platform.IsWave, DecodeWave: platform.DecodeWave, EncodeWaveStatus: platform.EncodeWaveStatus,
-		Clients: func(s *jobd.Service) http.Handler { return &platform.Ingress{Jobs: s} },
-	}
-	if s.Advice != "" {
-		p.Adviser = platform.NewAdvice(s.Advice)
-	}
-	if s.Machines != "" {
-		p.Cloud = platform.NewCloud(s.Machines, string(s.Entry))
-	}
 	hangup := make(chan os.Signal, 1)
 	signal.Notify(hangup, syscall.SIGHUP)
-	d := &jobd.Daemon{Settings: s, SettingsPath: path, Reload: hangup, Platform: p, Logger: logger, Clock: clock.Suspending()}
+	d := &jobd.Daemon{Settings: s, SettingsPath: path, Reload: hangup, Platform: platform.Assemble(s), Logger: logger, Clock: clock.Suspending()}
 	return d.Run(ctx)
 }
