Let the strong entry VMs own the partitions

Cause: on the grown deployment pools of 70 targets fell to VMs with 0.192 of a core, where an owner at the peak needs more than that; six of thirty VMs have 0.8. Change: the member id tells the VM's processor; a process that sees three members of twice its strength holding partitions leaves them to those, and joins again once they are gone. Ruled out: more partitions a pool (the strong VMs carry a pool each at 0.2 cores).

--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -40,6 +40,10 @@
 	Topics []plog.Topic
 	// TTL is how long the partitions stay with a silent member.
 	TTL time.Duration
+	// Standby, if set, tells whether to leave the partitions to others at present.
+	Standby func() bool
+	// Left, if set, is called after this process has left the group to stand by.
+	Left func()
 	// Start makes an owner of a partition, with an epoch above all former ones.
 	Start  func(p plog.TopicPartition, epoch plog.Epoch) Owner
 	Clock  clock.Clock
@@ -88,7 +92,20 @@
 
 // Run stays in the group until ctx is done, then stops the owners and leaves.
 func (m *Member) Run(ctx context.Context) {
+	joined := false
 	for ctx.Err() == nil {
+		if m.Standby != nil && m.Standby() {
+			if joined {
+				joined = false
+				m.keep(nil)
+				m.leave(ctx)
+				m.Logger.Info("standing by: stronger members hold the partitions")
+				m.Left()
+			}
+			_ = clock.Sleep(ctx, m.Clock, joinPeriod) // the loop checks the context
+			continue
+		}
+		joined = true
 		again := m.join(ctx)
 		if again {
 			continue
@@ -101,11 +118,19 @@
 		cancel()
 	}
 	m.keep(nil)
-	leave, cancel := context.WithTimeout(context.WithoutCancel(ctx), leaveTimeout)
+	if joined {
+		m.leave(ctx)
+	}
+}
+
+// leave gives the partitions to the others at once.
+func (m *Member) leave(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), leaveTimeout)
 	defer cancel()
-	if err := m.Log.Leave(leave, m.membership()); err != nil {
+	if err := m.Log.Leave(ctx, m.membership()); err != nil {
 		m.Logger.Warn("could not leave the group; the partitions pass on after the ttl", "error", err)
 	}
+	m.generation = 0
 }
 
 func (m *Member) membership() plog.Membership {
--- a/internal/jobd/daemon.go
+++ b/internal/jobd/daemon.go
@@ -129,7 +129,10 @@
 	wg.Go(func() { d.service.watchReach(running) })
 	membership, leave := context.WithCancel(running)
 	var left sync.WaitGroup
-	left.Go(func() { d.member.Run(membership) })
+	left.Go(func() {
+		d.owners.first(membership) // so that a weak process doesn't join only to leave
+		d.member.Run(membership)
+	})
 	d.Logger.Info("start", "entry", d.Settings.Entry, "zone", d.Settings.Zone, "client", d.Settings.Client, "peer", d.Settings.Peer, "member", d.member.ID)
 
 	select {
@@ -161,10 +164,10 @@
 
 func (d *Daemon) build() {
 	s, p := d.Settings, d.Platform
-	d.owners = &owners{Log: p.Log, Group: groupName, Clock: d.Clock, Logger: d.Logger, wake: make(chan struct{}, 1)}
+	d.owners = &owners{Log: p.Log, Group: groupName, CPU: s.CPU(), Clock: d.Clock, Logger: d.Logger, wake: make(chan struct{}, 1)}
 	d.member = &group.Member{
-		Log: p.Log, Group: groupName, ID: newMemberID(s.Peer, time.Now()), Topics: []plog.Topic{shard.JobsTopic},
-		TTL: max(groupTTL, s.Log.MinTTL.Duration), Start: d.startOwner, Clock: d.Clock, Logger: d.Logger,
+		Log: p.Log, Group: groupName, ID: newMemberID(s.Peer, time.Now(), s.CPU()), Topics: []plog.Topic{shard.JobsTopic},
+		TTL: max(groupTTL, s.Log.MinTTL.Duration), Start: d.startOwner, Standby: d.owners.LeftToOthers, Left: func() { d.hintOthers(d.ctx) }, Clock: d.Clock, Logger: d.Logger,
 	}
 	d.member.Init()
 	d.service = &Service{Parts: s.Log.Parts, Self: s.Peer, Member: d.member, Owners: d.owners, Links: &link.Client{}, Clock: d.Clock, Logger: d.Logger}
--- a/internal/jobd/reach.go
+++ b/internal/jobd/reach.go
@@ -18,7 +18,7 @@
 	// pingTimeout bounds a ping of another process.
 	pingTimeout = 400 * time.Millisecond
 	// pingPeers is the number of processes that are pinged at a time.
-	pingPeers = 4
+	pingPeers = 2
 )
 
 // Connected reports whether the log or another process has answered lately.
--- a/internal/jobd/settings.go
+++ b/internal/jobd/settings.go
@@ -12,6 +12,7 @@
 
 	"github.com/toucanhatch/toucanhatch/internal/config"
 	"github.com/toucanhatch/toucanhatch/internal/jobs"
+	"github.com/toucanhatch/toucanhatch/internal/work"
 	"github.com/toucanhatch/toucanhatch/pkg/ident"
 )
 
@@ -31,7 +32,9 @@
 	Advice      string          `toml:"advice"`
 	ControlMode string          `toml:"control_mode"` // how targets receive orders; only "invoke" is supported
 	Memory      ident.Bytes     `toml:"memory"`       // limit of the VM
-	Grace       config.Duration `toml:"grace"`        // between SIGTERM and SIGKILL
+	CPUShare    float64         `toml:"cpu_share"`    // of each core; 0 if it isn't known
+	Cores       float64         `toml:"cores"`
+	Grace       config.Duration `toml:"grace"` // between SIGTERM and SIGKILL
 	LogLevel    string          `toml:"log_level"`
 	Bounds      BoundSettings   `toml:"bounds"`
 }
@@ -127,6 +130,9 @@
 	if s.Log.Parts < 1 {
 		fault("log.parts = %d is not positive", s.Log.Parts)
 	}
+	if s.CPUShare < 0 || s.Cores < 0 {
+		fault("cpu_share = %v, cores = %v: neither may be negative", s.CPUShare, s.Cores)
+	}
 	if s.Memory < 0 {
 		fault("memory = %d is negative", s.Memory)
 	}
@@ -141,6 +147,9 @@
 	return errors.Join(faults...)
 }
 
+// CPU returns the processor of the VM; 0 if it isn't known.
+func (s *Settings) CPU() work.Millicores { return work.Millicores(1000 * s.CPUShare * s.Cores) }
+
 func (s *Settings) bounds() jobs.Bounds {
 	b := &s.Bounds
 	return jobs.Bounds{
