Prove the ownership with a record: an empty append takes no number in the sequence

Ruled out: lost and repeated appends (no unanswered write near). Test with a stand-in of that behaviour, seen to fail first.

--- a/internal/fakes/log.go
+++ b/internal/fakes/log.go
@@ -73,6 +73,12 @@
 	switch {
 	case w.Epoch < p.epoch:
 		return cmp.Or(fault, plog.ErrFenced)
+	case len(records) == 0: // sets the epoch and takes no place in the sequence
+		if w.Epoch > p.epoch {
+			p.epoch, p.seq = w.Epoch, -1
+		}
+		return fault
+	case w.Epoch == p.epoch && p.seq < 0: // the first append of an epoch may have any number
 	case w.Epoch == p.epoch && w.Seq <= p.seq && w.Seq > p.seq-5:
 		return fault // a repeat
 	case w.Epoch == p.epoch && w.Seq != p.seq+1:
--- a/internal/jobd/reach.go
+++ b/internal/jobd/reach.go
@@ -26,6 +26,7 @@
 
 // watchReach notices when this process is cut off from everything, and when that ends.
 func (s *Service) watchReach(ctx context.Context) {
+	s.reached.Store(s.Clock.Now().UnixNano()) // until it is known otherwise
 	for ctx.Err() == nil {
 		if s.sinceAnswer() > reachLimit/2 {
 			s.pingOwners(ctx)
--- a/internal/shard/shard_test.go
+++ b/internal/shard/shard_test.go
@@ -126,3 +126,23 @@
 		t.Error("the former owner stores a job")
 	}
 }
+
+// Guards against an owner that loses its place in the log's sequence by proving
+// that it is the owner (ownership lost with "the log expects append", incident
+// inc-ca77 of carretilla-quito): an empty append takes no number.
+func TestProofKeepsTheSequence(t *testing.T) {
+	s := start(t, &fakes.Log{}, 1)
+	for i, id := range []work.JobID{"0000000000000001", "0000000000000002"} {
+		if err := s.Submit(t.Context(), testQueue, id, testSpec); err != nil {
+			t.Fatalf("submit %d: %v", i, err)
+		}
+		if _, known, err := s.State(t.Context(), "p", "00000000000000ff"); err != nil || known {
+			t.Fatalf("state of an unknown job: known %v, error %v", known, err)
+		}
+	}
+	select {
+	case <-s.Done():
+		t.Error("the owner has ended")
+	default:
+	}
+}
--- a/internal/shard/write.go
+++ b/internal/shard/write.go
@@ -22,6 +22,9 @@
 	retryPause = 50 * time.Millisecond
 	// refusedPause is the time after the log has refused a write.
 	refusedPause = 150 * time.Millisecond
+	// proofKey is written where nothing else is to be, to prove the ownership: an
+	// empty append would not count in the writer's sequence. No job has this key.
+	proofKey = "~proof"
 	// maxWriteBytes bounds the records of one call, well under the log's limit.
 	maxWriteBytes = 1 << 20
 )
@@ -58,7 +61,10 @@
 			records = append(records, plog.Record{Key: string(r.ID), Value: value})
 		}
 	}
-	if len(records) == 0 && len(s.probes) == 0 {
+	if len(s.probes) > 0 && len(records) == 0 {
+		records = append(records, plog.Record{Key: proofKey, Value: []byte{1}})
+	}
+	if len(records) == 0 {
 		return
 	}
 	w.probes, s.probes = s.probes, nil
@@ -93,7 +99,7 @@
 		}
 		size += n
 	}
-	return append(out, records[from:]) // an empty write proves the ownership
+	return append(out, records[from:])
 }
 
 func (s *Shard) appendChunk(w *write, chunk []plog.Record) error {
@@ -204,6 +210,9 @@
 		}
 		for _, r := range page.Records {
 			after = r.Key
+			if r.Key == proofKey {
+				continue
+			}
 			record, err := jobs.DecodeRecord(r.Value)
 			if err != nil {
 				s.Logger.Error("record can't be read", "partition", s.Partition, "key", r.Key, "error", err)
