--- /dev/null
+++ b/internal/boot/main.go
@@ -0,0 +1,88 @@
+package boot
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/urfave/cli/v3"
+
+	"github.com/toucanhatch/toucanhatch/internal/clock"
+	"github.com/toucanhatch/toucanhatch/internal/jobd"
+	"github.com/toucanhatch/toucanhatch/internal/logio"
+	"github.com/toucanhatch/toucanhatch/platform"
+)
+
+// Exit codes of toucanjobd.
+const (
+	exitOK       = 0
+	exitFailed   = 1 // the daemon could not start or stopped on an error
+	exitSettings = 2 // the settings or the command line are wrong
+)
+
+// Main runs toucanjobd and returns its exit code.
+func Main(args []string) int {
+	code := exitOK
+	cmd := &cli.Command{
+		Name:      "toucanjobd",
+		Usage:     "take jobs in, run them on the pools' targets and keep the pools' capacity",
+		UsageText: "toucanjobd --settings FILE\ntoucanjobd check-settings FILE\ntoucanjobd dev",
+		Description: "Settings are described in docs/settings.md. Logs go to standard output, one JSON object a line.\n\n" +
+			"Signals: SIGTERM and SIGINT hand the partitions over and stop gracefully; a second one ends the process at once.\n" +
+			"SIGHUP reads the settings again.\n\n" +
+			"Exit codes: 0 stopped gracefully; 1 failed; 2 wrong settings or arguments.",
+		Flags: []cli.Flag{&cli.StringFlag{
+			Name: "settings", Usage: "TOML `FILE` with the settings of this process", Sources: cli.EnvVars(jobd.SettingsVariable),
+		}},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			settings, err := jobd.LoadSettings(c.String("settings"))
+			if err != nil {
+				code = exitSettings
+				return err
+			}
+			if err = run(ctx, c.String("settings"), settings); err != nil {
+				code = exitFailed
+			}
+			return err
+		},
+		Commands: []*cli.Command{
+			{
+				Name: "check-settings", Usage: "check a settings file and exit", ArgsUsage: "FILE",
+				Action: func(_ context.Context, c *cli.Command) error {
+					if _, err := jobd.LoadSettings(c.Args().First()); err != nil {
+						code = exitSettings
+						return err
+					}
+					fmt.Println("settings are valid")
+					return nil
+				},
+			},
+			devCommand(),
+		},
+	}
+	if err := cmd.Run(context.Background(), args); err != nil {
+		fmt.Fprintln(os.Stderr, "toucanjobd:", err)
+		if code == exitOK {
+			code = exitSettings
+		}
+	}
+	return code
+}
+
+func run(ctx context.Context, path string, s *jobd.Settings) error {
+	out := logio.New(os.Stdout)
+	defer out.Flush()
+	logger := hclog.New(&hclog.LoggerOptions{Level: hclog.LevelFromString(s.LogLevel), JSONFormat: true, Output: out})
+	ctx, cancel := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
+	defer cancel()
+	context.AfterFunc(ctx, cancel) // a second signal has its default effect
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
+	d := &jobd.Daemon{
+		Settings: s, SettingsPath: path, Reload: hangup, Platform: platform.Assemble(s), Logger: logger, Clock: clock.Suspending(),
+	}
+	return d.Run(ctx)
+}
