--- a/internal/jobd/daemon.go
+++ b/internal/jobd/daemon.go
@@ -292,6 +292,8 @@
 		Partition: p.Partition, Parts: d.Settings.Log.Parts, Epoch: epoch, Log: d.Platform.Log, Targets: targets{d}, Adviser: d.Platform.Adviser,
 		Bounds: d.bounds.Load().bounds(), Clock: d.Clock, Logger: d.Logger, Events: d.logEvent,
 		Queues: d.queues, WallOffset: func() time.Duration { return 0 }, Confirmed: d.member.Confirmed,
+		WriteTime:    func(took time.Duration) { writeLatencies.Record(allLatencies, took) },
+		TakeoverTime: func(took time.Duration) { takeoverLatencies.Record(allLatencies, took) },
 	}
 	s.Init(d.ctx)
 	go s.Run()
@@ -331,6 +333,7 @@
 }
 
 func (d *Daemon) logEvent(e jobs.Event) {
+	countEvent(e)
 	var args []any
 	if e.Job != "" {
 		args = append(args, "job", e.Job)
--- a/internal/jobd/metrics.go
+++ b/internal/jobd/metrics.go
@@ -6,20 +6,54 @@
 	"time"
 
 	"github.com/toucanhatch/toucanhatch/internal/hist"
+	"github.com/toucanhatch/toucanhatch/internal/jobs"
+	"github.com/toucanhatch/toucanhatch/internal/link"
 )
 
 // metricsHandler serves all counters and histograms as JSON text.
 func metricsHandler() http.Handler { return expvar.Handler() }
 
+// The metrics of docs/metrics.md. Where several daemons share a process, they share the counters.
 var (
-	logCalls     = expvar.NewMap("log_calls") // by call and outcome
-	logLatencies hist.Set[string]             // by call
+	events            = expvar.NewMap("events")       // by kind
+	requests          = expvar.NewMap("requests")     // by method and outcome
+	logCalls          = expvar.NewMap("log_calls")    // by call and outcome
+	jobsInTime        = expvar.NewMap("jobs_in_time") // by queue
+	jobsLate          = expvar.NewMap("jobs_late")    // by queue
+	requestLatencies  hist.Set[link.Method]
+	logLatencies      hist.Set[string]
+	writeLatencies    hist.Set[string]
+	takeoverLatencies hist.Set[string]
 )
 
-func init() { expvar.Publish("log_latency", logLatencies.Var()) }
+const allLatencies = "all"
+
+func init() {
+	expvar.Publish("request_latency", requestLatencies.Var())
+	expvar.Publish("log_latency", logLatencies.Var())
+	expvar.Publish("write_latency", writeLatencies.Var())
+	expvar.Publish("takeover_latency", takeoverLatencies.Var())
+}
 
 // CountLogCall counts one call to the log.
 func CountLogCall(call, outcome string, took time.Duration) {
 	logCalls.Add(call+" "+outcome, 1)
 	logLatencies.Record(call, took)
 }
+
+func countRequest(m link.Method, o outcome, took time.Duration) {
+	requests.Add(string(m)+" "+string(o), 1)
+	requestLatencies.Record(m, took)
+}
+
+func countEvent(e jobs.Event) {
+	events.Add(string(e.Kind), 1)
+	if e.Kind != jobs.EventCompleted || e.Objective == 0 {
+		return
+	}
+	if e.Delay <= e.Objective {
+		jobsInTime.Add(string(e.Queue), 1)
+	} else {
+		jobsLate.Add(string(e.Queue), 1)
+	}
+}
--- a/internal/jobd/service.go
+++ b/internal/jobd/service.go
@@ -166,6 +166,7 @@
 // the pool when its owner changes. Requests may be repeated: a job is known by its id.
 func (s *Service) do(ctx context.Context, m link.Method, a ask) (r reply, unsure bool) {
 	begin := s.Clock.Now()
+	defer func() { countRequest(m, r.Outcome, s.Clock.Now().Sub(begin)) }()
 	p := s.position(a.Queue.Pool)
 	for {
 		r = s.attempt(ctx, m, a, p)
--- a/internal/jobs/end.go
+++ b/internal/jobs/end.go
@@ -71,7 +71,10 @@
 	p.replan = true
 	if complete {
 		p.finish(now, j)
-		p.event(Event{Kind: EventCompleted, Job: j.id, Queue: j.queue, Delay: p.wall(now).Sub(j.accepted)})
+		p.event(Event{
+			Kind: EventCompleted, Job: j.id, Queue: j.queue, Delay: p.wall(now).Sub(j.accepted),
+			Objective: p.objectiveOf(p.queues[j.queue], j.chain),
+		})
 	}
 }
 
--- a/internal/jobs/event.go
+++ b/internal/jobs/event.go
@@ -35,5 +35,7 @@
 	Attempt work.Attempt
 	Target  work.TargetID
 	Detail  string
-	Delay   time.Duration // expected wait, or when to come back
+	Delay   time.Duration // expected wait, when to come back, or how long it took
+	// Objective is the time in which a completed job should have been completed; 0 where that isn't known.
+	Objective time.Duration
 }
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -90,6 +90,8 @@
 	Confirmed func() time.Time
 	// WriteTime is told how long each write took.
 	WriteTime func(time.Duration)
+	// TakeoverTime is told how long the takeover took.
+	TakeoverTime func(time.Duration)
 
 	mail      chan func(now time.Time)
 	ready     chan struct{} // closed when the state has been read
@@ -199,6 +201,9 @@
 		s.refresh(now, p)
 	}
 	s.Logger.Info("partition taken over", "partition", s.Partition, "epoch", s.Epoch, "jobs", len(records), "took", now.Sub(s.begun))
+	if s.TakeoverTime != nil {
+		s.TakeoverTime(now.Sub(s.begun))
+	}
 	close(s.ready)
 	tick := s.Clock.Every(tickPeriod, func() { s.post(s.tick) })
 	defer tick.Stop()
