--- a/internal/sizer/sizer.go
+++ b/internal/sizer/sizer.go
@@ -53,7 +53,9 @@
 	// cushion is the number of VMs that a pool keeps beyond its need, so that the next job finds room at once.
 	cushion = 1
 	// parkAfter is how long a VM must have been idle to be parked. A move costs what a VM in a pool costs in about 1.2 s.
-	parkAfter = 8 * time.Second
+	parkAfter = 2 * time.Second
+	// keepSpare is the number of VMs to spare that a pool keeps for the start of its turn; what is beyond is parked.
+	keepSpare = 3
 	// balanceAfter is how long a VM must have been idle to be moved to a pool that merely has less to spare.
 	balanceAfter = 400 * time.Millisecond
 	// balanceGap is the difference in spare VMs from which pools are evened out.
@@ -247,7 +249,7 @@
 		if p.Parked {
 			continue
 		}
-		for p.spare() > 0 && len(p.idle) > 0 && p.idle[0].IdleFor >= parkAfter {
+		for p.spare() > keepSpare && len(p.idle) > 0 && p.idle[0].IdleFor >= parkAfter {
 			m, ok := s.move(p, s.parked, "nobody needs the VM")
 			if !ok {
 				break
