--- /dev/null
+++ b/internal/jobs/steps_test.go
@@ -0,0 +1,170 @@
+package jobs
+
+import (
+	"testing"
+	"time"
+
+	"github.com/toucanhatch/toucanhatch/internal/work"
+)
+
+// The members of a gang start together, with one attempt, or not at all.
+func TestGangStartsWholeOrNotAtAll(t *testing.T) {
+	b := newBed(t, 1)
+	b.submit(work.Step{Count: 3, Need: work.Resources{CPU: 6000, Memory: 10}, Estimate: time.Second, Gang: true})
+	if got := b.settle(); len(got) != 0 {
+		t.Fatalf("%d members start where two have room, want none", len(got))
+	}
+	b.register("t1")
+	b.list("t1")
+	starts := b.settle()
+	if len(starts) != 3 {
+		t.Fatalf("%d members start, want 3", len(starts))
+	}
+	for _, s := range starts {
+		if s.Attempt != starts[0].Attempt {
+			t.Errorf("attempts %d and %d in one gang", s.Attempt, starts[0].Attempt)
+		}
+	}
+}
+
+// When one member of a gang ends, the others are stopped, and all start again with a higher attempt; one end done stands for all.
+func TestGangEndsTogether(t *testing.T) {
+	b := newBed(t, 1)
+	b.submit(work.Step{Count: 2, Need: work.Resources{CPU: 1000, Memory: 10}, Estimate: time.Second, Gang: true})
+	first := b.settle()
+	b.end(first[0].Target, first[0].Task, first[0].Attempt, work.EndLapsed)
+	if again := b.settle(); len(again) != 0 {
+		t.Fatalf("%d members start while one of the former attempt is being stopped, want none", len(again))
+	}
+	second := b.settle()
+	if len(second) != 2 || second[0].Attempt <= first[0].Attempt || second[0].Attempt != second[1].Attempt {
+		t.Fatalf("second attempt %+v, want two members with one attempt above %d", second, first[0].Attempt)
+	}
+	b.end(second[0].Target, second[0].Task, second[0].Attempt, work.EndDone)
+	b.settle()
+	if state, _ := b.p.State("0000000000000001", b.p.durable); state != work.Completed {
+		t.Errorf("state %s after one member is done, want %s", state, work.Completed)
+	}
+}
+
+// A gang fails after as many failed attempts as the queue allows.
+func TestGangFailures(t *testing.T) {
+	b := newBed(t, 1)
+	b.submit(work.Step{Count: 2, Need: work.Resources{CPU: 1000, Memory: 10}, Estimate: time.Second, Gang: true})
+	for range testQueue.MaxAttempts {
+		var starts []StartOrder
+		for range 5 {
+			b.now = b.now.Add(failureBackoff)
+			b.p.Tick(b.now)
+			if starts = b.settle(); len(starts) > 0 {
+				break
+			}
+		}
+		if len(starts) != 2 {
+			t.Fatalf("%d members start, want 2", len(starts))
+		}
+		b.end(starts[1].Target, starts[1].Task, starts[1].Attempt, work.EndFailed)
+		b.settle()
+	}
+	if state, _ := b.p.State("0000000000000001", b.p.durable); state != work.Failed {
+		t.Errorf("state %s after %d failed attempts, want %s", state, testQueue.MaxAttempts, work.Failed)
+	}
+}
+
+// A step of a queue with advice starts only on targets for which there is a ticket, and with it.
+func TestAdviceNamesTheTargets(t *testing.T) {
+	b := newBed(t, 3)
+	q := testQueue
+	q.Advice = &work.Advice{Validity: 3 * time.Second}
+	b.p.SetQueues([]work.Queue{q})
+	b.submit(work.Step{Count: 2, Need: work.Resources{CPU: 1000, Memory: 10}, Estimate: time.Second})
+	b.p.Plan(b.now)
+	orders := b.p.Orders()
+	if len(orders) != 1 {
+		t.Fatalf("orders %v, want one question", orders)
+	}
+	ask, ok := orders[0].(AdviseOrder)
+	if !ok || len(ask.Targets) != 3 {
+		t.Fatalf("order %+v, want a question about three targets", orders[0])
+	}
+	b.p.Advised(b.now, ask, map[work.TargetID]string{"t1": "ticket"}, q.Advice.Validity)
+	starts := b.settle()
+	if len(starts) != 2 {
+		t.Fatalf("%d tasks start, want 2", len(starts))
+	}
+	for _, s := range starts {
+		if s.Target != "t1" || s.Ticket != "ticket" {
+			t.Errorf("task starts on %s with ticket %q, want t1 with the ticket", s.Target, s.Ticket)
+		}
+	}
+}
+
+// Occurrences start when they are due, not before, and each runs all steps.
+func TestScheduledOccurrences(t *testing.T) {
+	b := newBed(t, 1)
+	spec := &work.Spec{Steps: []work.Step{smallStep}, Repeat: 2, FirstAt: b.now.Add(2 * time.Second), Period: 3 * time.Second}
+	if a := b.p.Submit(b.now, "0000000000000001", testQueue, spec); a.Refused {
+		t.Fatal("refused")
+	}
+	if got := b.settle(); len(got) != 0 {
+		t.Fatalf("%d tasks start before the first occurrence is due", len(got))
+	}
+	for k := range 2 {
+		b.now = spec.Due(k).Add(10 * time.Millisecond)
+		b.p.Tick(b.now)
+		starts := b.settle()
+		if len(starts) != 1 || starts[0].Task.Occurrence != k {
+			t.Fatalf("occurrence %d: starts %+v, want one task of it", k, starts)
+		}
+		b.end(starts[0].Target, starts[0].Task, starts[0].Attempt, work.EndDone)
+		b.settle()
+	}
+	if state, _ := b.p.State("0000000000000001", b.p.durable); state != work.Completed {
+		t.Errorf("state %s after both occurrences, want %s", state, work.Completed)
+	}
+}
+
+// Tasks with a label or a limit a target go only where these allow it.
+func TestLabelsAndLimits(t *testing.T) {
+	b := newBed(t, 3)
+	labeled, apart := smallStep, smallStep
+	labeled.Label = "gpu"
+	apart.Count, apart.MaxPerTarget = 5, 1
+	b.submit(labeled, apart)
+	seen := map[work.TargetID]int{}
+	for _, s := range b.settle() {
+		if s.Task.Step == 0 {
+			t.Errorf("a task that requires a label starts on %s, which doesn't have it", s.Target)
+		}
+		seen[s.Target]++
+	}
+	for id, n := range seen {
+		if n > 1 {
+			t.Errorf("%d tasks of the step on %s, want 1", n, id)
+		}
+	}
+	if len(seen) != 3 {
+		t.Errorf("tasks on %d targets, want 3", len(seen))
+	}
+}
+
+// A job is failed after as many failures as the queue allows, on different targets, and not before.
+func TestFailuresAreCountedOnce(t *testing.T) {
+	b := newBed(t, 2)
+	b.submit(smallStep)
+	first := b.settle()[0]
+	b.end(first.Target, first.Task, first.Attempt, work.EndFailed)
+	// The same end again, as after a takeover before it was acknowledged.
+	b.list(first.Target, work.EndRow{Task: first.Task, Attempt: first.Attempt, Kind: work.EndFailed})
+	b.now = b.now.Add(2 * failureBackoff)
+	b.p.Tick(b.now)
+	second := b.settle()
+	if len(second) != 1 || second[0].Target == first.Target {
+		t.Fatalf("second start %+v, want one on another target than %s", second, first.Target)
+	}
+	b.end(second[0].Target, second[0].Task, second[0].Attempt, work.EndFailed)
+	b.settle()
+	if state, _ := b.p.State("0000000000000001", b.p.durable); state != work.Failed {
+		t.Errorf("state %s after two failures, want %s", state, work.Failed)
+	}
+}
