Estimate the wall clock from the other processes

Cause: a process that starts while its time of day has jumped ordered jobs, began scheduled occurrences and judged lapsed leases by that time. Change: the median of what up to four others read at their starts. Ruled out: the targets' clocks (they don't start at zero).

--- a/internal/jobd/daemon.go
+++ b/internal/jobd/daemon.go
@@ -146,6 +146,7 @@
 	wg.Go(func() { d.targetWatch.Run(ctx) })
 	wg.Go(func() { d.owners.Run(ctx) })
 	wg.Go(func() { d.service.watchReach(ctx) })
+	wg.Go(func() { d.service.watchWall(ctx) })
 }
 
 // join enters the group; the function that it returns leaves it and waits until the partitions are given up.
@@ -309,7 +310,7 @@
 	s := &shard.Shard{
 		Partition: p.Partition, Parts: d.Settings.Log.Parts, Epoch: epoch, Log: d.Platform.Log, Targets: targets{d}, Adviser: d.Platform.Adviser,
 		Bounds: d.bounds.Load().bounds(), Clock: d.Clock, Logger: d.Logger, Events: d.logEvent,
-		Queues: d.queues, WallOffset: func() time.Duration { return 0 }, Confirmed: d.member.Confirmed,
+		Queues: d.queues, WallOffset: d.service.wall.Offset, Confirmed: d.member.Confirmed,
 		WriteTime:    func(took time.Duration) { writeLatencies.Record(allLatencies, took) },
 		TakeoverTime: func(took time.Duration) { takeoverLatencies.Record(allLatencies, took) },
 	}
--- a/internal/jobd/service.go
+++ b/internal/jobd/service.go
@@ -56,7 +56,8 @@
 
 	routes  atomic.Pointer[route.Table]
 	reached atomic.Int64 // Unix nanoseconds of Clock when another process last answered
-	cutOff  atomic.Bool  // neither the log nor another process answers
+	wall    wallClock
+	cutOff  atomic.Bool // neither the log nor another process answers
 
 	wavesMu sync.Mutex
 	waves   []work.Wave
@@ -71,6 +72,7 @@
 	methodRejoin  link.Method = "rejoin"
 	methodReport  link.Method = "report"
 	methodPing    link.Method = "ping"
+	methodTime    link.Method = "time"
 )
 
 // outcome is how a request ended at the pool's owner.
@@ -102,10 +104,14 @@
 
 // Handle answers the requests of other processes.
 func (s *Service) Handle(ctx context.Context, m link.Method, body []byte) ([]byte, error) {
-	if m == methodPing {
+	switch m {
+	case methodPing:
 		return nil, nil
-	}
-	if m == methodRejoin {
+	case methodTime:
+		return link.Handle(func(context.Context, struct{}) (clockReading, error) {
+			return clockReading{Now: s.Clock.Now().UnixNano()}, nil
+		})(ctx, body)
+	case methodRejoin:
 		s.Member.Hint()
 		s.Owners.Hint()
 		return nil, nil
