--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -60,29 +60,37 @@
 	return err
 }
 
-// Load reads and checks a settings file; the error lists every fault.
-func Load(path string) (*Settings, error) {
+// Read decodes a TOML file into settings that hold the defaults; an error names
+// the file, and the line or the keys that are not known.
+func Read(path string, into any) error {
 	data, err := os.ReadFile(path)
 	if err != nil {
-		return nil, fmt.Errorf("settings: %w", err)
+		return fmt.Errorf("settings: %w", err)
 	}
-	s := &Settings{
-		LogLevel: "info", DrainDelay: Duration{defaultDrainDelay},
-		KeyWindow: Duration{defaultKeyWindow}, KeyMemory: defaultKeyMemory,
-		LogRetention: Duration{DefaultLogRetention},
-	}
-	dec := toml.NewDecoder(bytes.NewReader(data)).DisallowUnknownFields()
-	if err := dec.Decode(s); err != nil {
+	if err := toml.NewDecoder(bytes.NewReader(data)).DisallowUnknownFields().Decode(into); err != nil {
 		var unknown *toml.StrictMissingError
 		if errors.As(err, &unknown) {
-			return nil, fmt.Errorf("settings %s: unknown keys:\n%s", path, unknown.String())
+			return fmt.Errorf("settings %s: unknown keys:\n%s", path, unknown.String())
 		}
 		var syntax *toml.DecodeError
 		if errors.As(err, &syntax) {
 			line, _ := syntax.Position()
-			return nil, fmt.Errorf("settings %s:%d: %w", path, line, err)
+			return fmt.Errorf("settings %s:%d: %w", path, line, err)
 		}
-		return nil, fmt.Errorf("settings %s: %w", path, err)
+		return fmt.Errorf("settings %s: %w", path, err)
+	}
+	return nil
+}
+
+// Load reads and checks a settings file; the error lists every fault.
+func Load(path string) (*Settings, error) {
+	s := &Settings{
+		LogLevel: "info", DrainDelay: Duration{defaultDrainDelay},
+		KeyWindow: Duration{defaultKeyWindow}, KeyMemory: defaultKeyMemory,
+		LogRetention: Duration{DefaultLogRetention},
+	}
+	if err := Read(path, s); err != nil {
+		return nil, err
 	}
 	if err := s.Check(); err != nil {
 		return nil, fmt.Errorf("settings %s: %w", path, err)
--- a/internal/jobd/settings.go
+++ b/internal/jobd/settings.go
@@ -1,15 +1,11 @@
 package jobd
 
 import (
-	"bytes"
 	"errors"
 	"fmt"
 	"net"
-	"os"
 	"time"
 
-	"github.com/pelletier/go-toml/v2"
-
 	"github.com/toucanhatch/toucanhatch/internal/config"
 	"github.com/toucanhatch/toucanhatch/internal/jobs"
 	"github.com/toucanhatch/toucanhatch/internal/work"
@@ -72,26 +68,13 @@
 
 // LoadSettings reads and checks a settings file; the error lists every fault.
 func LoadSettings(path string) (*Settings, error) {
-	data, err := os.ReadFile(path)
-	if err != nil {
-		return nil, fmt.Errorf("settings: %w", err)
-	}
 	s := &Settings{
 		LogLevel: "info", ControlMode: modeInvoke, Grace: config.Duration{Duration: defaultGrace},
 		Bounds: BoundSettings{Retention: config.Duration{Duration: defaultRetention}, RemoteCost: 1},
 		Log:    LogSettings{Parts: defaultParts},
 	}
-	if err := toml.NewDecoder(bytes.NewReader(data)).DisallowUnknownFields().Decode(s); err != nil {
-		var unknown *toml.StrictMissingError
-		if errors.As(err, &unknown) {
-			return nil, fmt.Errorf("settings %s: unknown keys:\n%s", path, unknown.String())
-		}
-		var syntax *toml.DecodeError
-		if errors.As(err, &syntax) {
-			line, _ := syntax.Position()
-			return nil, fmt.Errorf("settings %s:%d: %w", path, line, err)
-		}
-		return nil, fmt.Errorf("settings %s: %w", path, err)
+	if err := config.Read(path, s); err != nil {
+		return nil, err
 	}
 	if err := s.check(); err != nil {
 		return nil, fmt.Errorf("settings %s: %w", path, err)
--- /dev/null
+++ b/internal/jobs/fuzz_test.go
@@ -0,0 +1,23 @@
+package jobs
+
+import "testing"
+
+// Guards against stored bytes that crash an owner at its takeover.
+func FuzzRecord(f *testing.F) {
+	r := &Record{ID: "0000000000000001", Done: [][]byte{{1}}, Tasks: []TaskRecord{{Attempt: 1, Target: "t"}}}
+	r.Spec.Steps = append(r.Spec.Steps, smallStep)
+	b, err := r.Encode()
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(b)
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		r, err := DecodeRecord(data)
+		if err != nil {
+			return
+		}
+		b := NewPool("pool")
+		b.Restore(r.Accepted, r)
+		b.Tick(r.Accepted)
+	})
+}
--- a/internal/jobs/job.go
+++ b/internal/jobs/job.go
@@ -89,7 +89,10 @@
 
 // find returns the task's state, or nil if the job has no such task or it isn't due yet.
 func (j *job) find(id work.TaskID) (*task, *stepState) {
-	if id.Occurrence >= len(j.occurrences) || id.Step >= len(j.spec.Steps) || id.Index >= j.spec.Steps[id.Step].Count {
+	if id.Occurrence < 0 || id.Occurrence >= len(j.occurrences) || id.Step < 0 || id.Step >= len(j.spec.Steps) {
+		return nil, nil
+	}
+	if id.Index < 0 || id.Index >= j.spec.Steps[id.Step].Count {
 		return nil, nil
 	}
 	st := &j.occurrences[id.Occurrence].steps[id.Step]
@@ -171,7 +174,7 @@
 	j := newJob(r.ID, r.Queue.ID, &spec, r.Accepted)
 	j.canceled, j.failed, j.finished = r.Canceled, r.Failed, r.Finished
 	steps := len(spec.Steps)
-	for i := range r.Done {
+	for i := range min(len(r.Done), steps*spec.Occurrences()) {
 		if i%steps == 0 {
 			j.occurrences = append(j.occurrences, newOccurrence(i/steps, &spec))
 		}
--- a/internal/work/types.go
+++ b/internal/work/types.go
@@ -136,8 +136,10 @@
 	tasks := 0
 	for i := range s.Steps {
 		st := &s.Steps[i]
-		tasks += st.Count
-		if st.Count < 1 || tasks*s.Occurrences() > maxTasks {
+		if st.Count >= 1 && st.Count <= maxTasks { // larger counts could overflow the sum
+			tasks += st.Count
+		}
+		if st.Count < 1 || st.Count > maxTasks || tasks > maxTasks/s.Occurrences() {
 			return bad("step %d has %d tasks, at least 1 and at most %d for the whole job are allowed", i, st.Count, maxTasks)
 		}
 		if st.Need.CPU < 0 || st.Need.Memory < 0 || st.Need.GPU < 0 || st.Estimate < 0 || st.MaxPerTarget < 0 || st.MissBudget < 0 {
