--- a/internal/jobd/settings_test.go
+++ b/internal/jobd/settings_test.go
@@ -30,7 +30,7 @@
 		t.Fatalf("valid settings: %v", err)
 	}
 	for _, x := range []struct{ name, text, want string }{
-		{"unknown key", "colour = 1\n" + goodSettings, "colour"},
+		{"unknown key", "color = 1\n" + goodSettings, "color"},
 		{"syntax", goodSettings + "parts = = 1\n", "settings.toml:7"},
 		{"address", strings.Replace(goodSettings, "127.0.0.1:4", "here", 1), "log.address"},
 		{"control mode", "control_mode = \"heartbeat\"\n" + goodSettings, "control_mode"},
