--- /dev/null
+++ b/internal/jobs/bench_test.go
@@ -0,0 +1,75 @@
+package jobs
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/toucanhatch/toucanhatch/internal/work"
+)
+
+// loaded returns a pool whose targets are full and whose jobs wait.
+func loaded(b *testing.B, targets, jobs int) (*Pool, time.Time) {
+	b.Helper()
+	now := time.Unix(1_700_000_000, 0)
+	p := NewPool("pool")
+	p.SetQueues([]work.Queue{testQueue})
+	for i := range targets {
+		id := work.TargetID(fmt.Sprintf("t%d", i))
+		p.Register(now, work.Registration{ID: id, Pool: "pool", Born: 1, Room: work.Resources{CPU: 16000, Memory: 65536}, Rack: "r"})
+		p.Listed(now, work.List{Target: id, Born: 1, Sent: now})
+	}
+	for i := range jobs {
+		id := work.JobID(fmt.Sprintf("%016x", i))
+		p.Restore(now, &Record{ID: id, Queue: testQueue, Pool: "pool", Accepted: now, Spec: work.Spec{Payload: "p", Steps: []work.Step{
+			{Count: 8, Need: work.Resources{CPU: 1500, Memory: 1800}, Estimate: time.Second},
+			{Count: 8, Need: work.Resources{CPU: 1500, Memory: 1800}, Estimate: time.Second, After: []int{0}},
+		}}})
+	}
+	p.Plan(now)
+	return p, now
+}
+
+// BenchmarkPlan measures a round of planning in which nothing more fits.
+func BenchmarkPlan(b *testing.B) {
+	for _, size := range [][2]int{{10, 100}, {80, 100}, {80, 800}} {
+		b.Run(fmt.Sprintf("targets=%d/jobs=%d", size[0], size[1]), func(b *testing.B) {
+			p, now := loaded(b, size[0], size[1])
+			b.ReportAllocs()
+			for b.Loop() {
+				p.replan = true
+				p.Plan(now)
+			}
+		})
+	}
+}
+
+// BenchmarkTakeover measures what it takes to read one job's record and take it over, and the memory that it keeps.
+func BenchmarkTakeover(b *testing.B) {
+	p, now := loaded(b, 80, 100)
+	records, _ := p.Flush()
+	data, err := records[0].Encode()
+	if err != nil {
+		b.Fatal(err)
+	}
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	next := NewPool("pool")
+	n := 0
+	for b.Loop() {
+		r, err := DecodeRecord(data)
+		if err != nil {
+			b.Fatal(err)
+		}
+		r.ID = work.JobID(fmt.Sprintf("%016x", n))
+		next.Restore(now, r)
+		n++
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	b.ReportMetric(float64(len(data)), "record_bytes")
+	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(n), "heap_bytes/job")
+	runtime.KeepAlive(next)
+}
