--- a/internal/direct/direct.go
+++ b/internal/direct/direct.go
@@ -22,8 +22,6 @@
 type Directory struct {
 	// Decode reads an entry; an error means that it names no target.
 	Decode func(key string, value []byte) (work.Registration, error)
-	// Guards reports whether a pool's targets reject what does not fit.
-	Guards func(ident.PoolID) bool
 	Clock  clock.Clock
 	Logger hclog.Logger
 
@@ -130,9 +128,7 @@
 			continue
 		}
 		if e.reg.Pool == pool {
-			reg := e.reg
-			reg.Guards = d.Guards != nil && d.Guards(pool)
-			out = append(out, reg)
+			out = append(out, e.reg)
 		}
 	}
 	sort.Slice(out, func(i, j int) bool { return out[i].ID < out[j].ID })
--- a/internal/jobd/settings.go
+++ b/internal/jobd/settings.go
@@ -23,7 +23,6 @@
 	Log       LogSettings   `toml:"log"`
 	// Machines is the address of the service that moves VMs; empty where there is none.
 	Machines string `toml:"machines"`
-	Fencing  bool   `toml:"fencing"` // the machine service checks tokens
 	// Advice is the address of the service that says which targets may run a step; empty where there is none.
 	Advice      string          `toml:"advice"`
 	ControlMode string          `toml:"control_mode"` // how targets receive orders; only "invoke" is supported
@@ -46,13 +45,8 @@
 type BoundSettings struct {
 	StopTimeout  config.Duration `toml:"stop_timeout"`
 	RemoteCost   float64         `toml:"remote_cost"`
-	Restore      config.Duration `toml:"restore"`
-	Notice       config.Duration `toml:"notice"`
-	Disruption   config.Duration `toml:"disruption"`
-	GangWait     config.Duration `toml:"gang_wait"`
 	Retention    config.Duration `toml:"retention"`
 	MachineLease config.Duration `toml:"machine_lease"`
-	Move         config.Duration `toml:"move"`
 	Upkeep       config.Duration `toml:"upkeep"`
 }
 
@@ -136,7 +130,6 @@
 func (s *Settings) bounds() jobs.Bounds {
 	b := &s.Bounds
 	return jobs.Bounds{
-		StopTimeout: b.StopTimeout.Duration, RemoteCost: b.RemoteCost, Restore: b.Restore.Duration, Notice: b.Notice.Duration,
-		Disruption: b.Disruption.Duration, GangWait: b.GangWait.Duration, Retention: b.Retention.Duration,
+		StopTimeout: b.StopTimeout.Duration, RemoteCost: b.RemoteCost, Retention: b.Retention.Duration,
 	}
 }
--- a/internal/jobs/job.go
+++ b/internal/jobs/job.go
@@ -52,7 +52,6 @@
 	stalls     int           // stops because it made no progress
 	moves      int           // stops because the target seemed slow
 	avoid      work.TargetID // where the last run failed or made no progress
-	awaySince  time.Time     // since when a lasting task hasn't been at work
 }
 
 func newJob(id work.JobID, queue work.QueueID, spec *work.Spec, accepted time.Time) *job {
--- a/internal/jobs/pool.go
+++ b/internal/jobs/pool.go
@@ -49,10 +49,6 @@
 type Bounds struct {
 	StopTimeout time.Duration // a stopped run has ended by then
 	RemoteCost  float64       // factor on the time of a task away from its data
-	Restore     time.Duration // what a resumed run needs before it goes on
-	Notice      time.Duration // a lasting task that is away for longer counts as unavailable
-	Disruption  time.Duration // how long a serving task may miss its objective because of tasks that fill
-	GangWait    time.Duration // how long the members of a gang wait for each other
 	Inherit     time.Duration // after a takeover, until all leases of the former owner have passed
 	Lease       time.Duration // the longest lease that is given
 	Retention   time.Duration // how long a finished job is still shown
--- a/internal/jobs/target.go
+++ b/internal/jobs/target.go
@@ -277,7 +277,6 @@
 	if row.Checkpoint != "" {
 		r.checkpoint = row.Checkpoint
 	}
-	r.seenAt(now)
 }
 
 // judgeProgress compares the speed of a run with what is expected of it.
@@ -294,18 +293,6 @@
 // minJudged is how long a run must have been going for its percentage to say something.
 const minJudged = 400 * time.Millisecond
 
-// seenAt tracks since when a lasting task hasn't been at work.
-func (r *run) seenAt(now time.Time) {
-	if r.task == nil || r.spec == nil || !r.spec.Lasting {
-		return
-	}
-	if r.percent >= 100 {
-		r.task.awaySince = time.Time{}
-	} else if r.task.awaySince.IsZero() {
-		r.task.awaySince = now
-	}
-}
-
 // adopt takes over a run that the pool did not plan: one of a former owner, or
 // a late start. A run that is not wanted is stopped.
 func (p *Pool) adopt(now time.Time, t *target, key runKey) *run {
--- /dev/null
+++ b/internal/shard/sink.go
@@ -0,0 +1,64 @@
+package shard
+
+import (
+	"time"
+
+	"github.com/toucanhatch/toucanhatch/internal/jobs"
+	"github.com/toucanhatch/toucanhatch/internal/work"
+)
+
+// sink brings an agent's findings into the mailbox.
+type sink struct {
+	shard *Shard
+	pool  *pool
+}
+
+func (k *sink) Listed(l work.List) (acked int64, pending bool) {
+	reply := make(chan int64, 1)
+	if !k.shard.post(func(now time.Time) {
+		k.pool.Listed(now, l)
+		reply <- k.pool.Acked(l.Target)
+	}) {
+		return 0, false
+	}
+	select {
+	case acked = <-reply:
+	case <-k.shard.ctx.Done():
+	}
+	last := int64(0)
+	for i := range l.Ended {
+		last = max(last, l.Ended[i].Seq)
+	}
+	return acked, last > acked
+}
+
+func (k *sink) Unheard(id work.TargetID) {
+	k.shard.post(func(time.Time) { k.pool.Unheard(id) })
+}
+
+func (k *sink) Lapsed(id work.TargetID) {
+	k.shard.post(func(now time.Time) { k.pool.Lapsed(now, id) })
+}
+
+func (k *sink) Started(o jobs.StartOrder, result jobs.StartResult) {
+	k.shard.post(func(now time.Time) { k.pool.Started(now, o.Target, o.Task, o.Attempt, result) })
+}
+
+func (k *sink) Stopped(o jobs.StopOrder, acked bool) {
+	k.shard.post(func(now time.Time) { k.pool.Stopped(now, o.Target, o.Task, o.Attempt, acked) })
+}
+
+func (k *sink) Paced(o jobs.PaceOrder, acked bool) {
+	k.shard.post(func(time.Time) { k.pool.Paced(o.Target, o.Task, o.Attempt, acked) })
+}
+
+// Fenced ends the shard: what a later owner knows is newer, and only it may answer clients.
+func (k *sink) Fenced() {
+	s := k.shard
+	if s.ctx.Err() == nil {
+		s.Logger.Warn("ownership lost: a target has seen a later owner", "partition", s.Partition, "epoch", s.Epoch)
+		s.stop()
+	}
+}
+
+func (k *sink) Confirmed() bool { return k.shard.confirmed() }
--- /dev/null
+++ b/internal/shard/targets.go
@@ -0,0 +1,77 @@
+package shard
+
+import (
+	"context"
+	"time"
+
+	"github.com/toucanhatch/toucanhatch/internal/agent"
+	"github.com/toucanhatch/toucanhatch/internal/work"
+)
+
+// refresh brings a pool up to the configuration and the live list.
+func (s *Shard) refresh(now time.Time, p *pool) {
+	p.SetQueues(s.Queues())
+	p.SetWallOffset(s.WallOffset())
+	live := map[work.TargetID]bool{}
+	for _, reg := range s.Targets.Snapshot(p.ID) {
+		live[reg.ID] = true
+		p.Register(now, reg)
+		s.keepAgent(p, reg)
+	}
+	for id, h := range p.agents {
+		if !live[id] {
+			p.Unregister(id)
+			if !p.Holds(id) {
+				h.cancel()
+				delete(p.agents, id)
+			}
+		}
+	}
+	for _, id := range p.TargetIDs() {
+		if m := p.Machine(id); m != "" {
+			if present, born := s.Targets.Life(m); present != id {
+				p.Replaced(now, id, born)
+			}
+		}
+	}
+	s.orphanedTargets(now, p, live)
+}
+
+// orphanedTargets settles what records say of targets that the live list doesn't name:
+// nobody can reach them, and their leases pass.
+func (s *Shard) orphanedTargets(now time.Time, p *pool, live map[work.TargetID]bool) {
+	if now.Before(s.inherited()) {
+		return
+	}
+	for _, id := range p.TargetIDs() {
+		if !live[id] && p.agents[id] == nil {
+			p.Lapsed(now, id)
+		}
+	}
+}
+
+// inherited is when all leases that a former owner gave have passed.
+func (s *Shard) inherited() time.Time {
+	return s.begun.Add(inheritTime)
+}
+
+func (s *Shard) keepAgent(p *pool, reg work.Registration) {
+	h := p.agents[reg.ID]
+	if h != nil && h.reg.Addr == reg.Addr {
+		return
+	}
+	if h != nil {
+		h.cancel()
+	}
+	ctx, cancel := context.WithCancel(s.ctx)
+	a := agent.New(reg.ID)
+	a.Caller = s.Targets.Caller(reg)
+	a.Fence, a.Lease, a.Clock, a.Inherited = p.Fence, leaseTime, s.Clock, s.inherited()
+	if h != nil { // the former agent gave leases at the old address
+		a.Inherited = s.Clock.Now().Add(longestLease)
+	}
+	a.Logger = s.Logger
+	a.Sink = &sink{shard: s, pool: p}
+	p.agents[reg.ID] = &agentHandle{Agent: a, reg: reg, cancel: cancel}
+	go a.Run(ctx)
+}
--- a/internal/upkeep/doc.go
+++ b/internal/upkeep/doc.go
@@ -1,3 +1,6 @@
-// Package upkeep decides which VM is taken down for its upkeep next, and when
-// a VM changes its pool.
+// Package upkeep decides which VMs of a wave are taken down for their upkeep
+// next.
+//
+// It answers waves over half of the VMs while pools peak in turn: VMs that
+// serve nobody come first, and those that a pool needs wait while there is time.
 package upkeep
--- a/internal/work/config.go
+++ b/internal/work/config.go
@@ -24,7 +24,6 @@
 // PoolConfig is the configuration of a pool.
 type PoolConfig struct {
 	ID     ident.PoolID
-	Guards bool // its targets reject what does not fit
 	Parked bool // its VMs are off and cost nothing
 }
 
--- a/internal/work/types.go
+++ b/internal/work/types.go
@@ -268,5 +268,4 @@
 	Room     Resources
 	Born     int64
 	Draining bool
-	Guards   bool // the target rejects what does not fit
 }
