Read a target's list at once after an order without an answer

Change: orders time out after 0.3 s, and the list is read besides the long poll; an older list that arrives later is dropped.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -25,10 +25,13 @@
 	probeTimeout = 500 * time.Millisecond
 	// probePause is the time between two of them.
 	probePause = 200 * time.Millisecond
-	// OrderTimeout bounds a start, stop or pace; targets answer in some milliseconds.
-	OrderTimeout = 700 * time.Millisecond
+	// orderTimeout bounds a start, stop or pace: targets answer in some milliseconds, and the
+	// list, which is read next, shows an order that did arrive.
+	orderTimeout = 300 * time.Millisecond
 	// ackWait is how long the next request waits for ends to become durable.
 	ackWait = 400 * time.Millisecond
+	// refreshMargin is added to the time that a stop takes at most.
+	refreshMargin = 20 * time.Millisecond
 	// ordersAtOnce is the number of orders in flight to one target.
 	ordersAtOnce = 4
 )
@@ -57,24 +60,28 @@
 	Caller Caller
 	Fence  work.Fence
 	Lease  time.Duration // given with each request
-	Sink   Sink
-	Clock  clock.Clock
-	Logger hclog.Logger
+	// StopTimeout is how long a stopped run takes at most to end.
+	StopTimeout time.Duration
+	Sink        Sink
+	Clock       clock.Clock
+	Logger      hclog.Logger
 	// Inherited is when the leases that a former owner gave have surely passed.
 	Inherited time.Time
 
-	mu      sync.Mutex
-	lease   lease
-	born    int64
-	lapsed  bool // Lapsed was reported and nothing was given since
-	acked   int64
-	ackWake chan struct{}
-	slots   chan struct{}
+	mu         sync.Mutex
+	lease      lease
+	born       int64
+	lapsed     bool // Lapsed was reported and nothing was given since
+	acked      int64
+	ackWake    chan struct{}
+	slots      chan struct{}
+	ctx        context.Context
+	refreshDue time.Time
 }
 
-// New returns an agent for the target.
-func New(id work.TargetID) *Agent {
-	return &Agent{ID: id, ackWake: make(chan struct{}, 1), slots: make(chan struct{}, ordersAtOnce)}
+// New returns an agent for the target; it works until ctx is done.
+func New(ctx context.Context, id work.TargetID) *Agent {
+	return &Agent{ctx: ctx, ID: id, ackWake: make(chan struct{}, 1), slots: make(chan struct{}, ordersAtOnce)}
 }
 
 // SetAcked allows the target to forget its ends up to seq.
@@ -91,8 +98,9 @@
 	}
 }
 
-// Run keeps the target's lease and list until ctx is done.
-func (a *Agent) Run(ctx context.Context) {
+// Run keeps the target's lease and list.
+func (a *Agent) Run() {
+	ctx := a.ctx
 	defer a.Caller.Close()
 	answered, busy := false, true
 	for ctx.Err() == nil {
@@ -109,10 +117,13 @@
 			if answered {
 				a.Logger.Info("target lost", "target", a.ID)
 			}
+			again := answered // a single answer may be lost: ask once more at once
 			answered = false
 			a.Sink.Unheard(a.ID)
 			a.checkLapse()
-			_ = clock.Sleep(ctx, a.Clock, probePause) // the loop checks the context
+			if !again {
+				_ = clock.Sleep(ctx, a.Clock, probePause) // the loop checks the context
+			}
 			continue
 		}
 		if !answered {
@@ -197,6 +208,38 @@
 	}
 }
 
+// refreshAfter reads the list once more after d, besides the long poll, since
+// what becomes of an order is to be known soon.
+func (a *Agent) refreshAfter(d time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	due := a.Clock.Now().Add(d)
+	if a.refreshDue.After(a.Clock.Now()) && !a.refreshDue.Before(due) && !a.refreshDue.After(due.Add(refreshMargin)) {
+		return // one is about to be read
+	}
+	a.refreshDue = due
+	a.Clock.AfterFunc(d, a.refresh)
+}
+
+func (a *Agent) refresh() {
+	if a.ctx.Err() != nil || !a.Sink.Confirmed() {
+		return
+	}
+	ctx, cancel := context.WithTimeout(a.ctx, probeTimeout)
+	defer cancel()
+	sent := a.Clock.Now()
+	a.mu.Lock()
+	call := HoldCall{Fence: a.Fence, Acked: a.acked}
+	born := a.born
+	a.mu.Unlock()
+	answer, err := a.Caller.Hold(ctx, call)
+	if err != nil || answer.List.Born != born {
+		return // the long poll will tell
+	}
+	answer.List.Sent = sent
+	a.Sink.Listed(answer.List)
+}
+
 // Send carries out an order in the background.
 func (a *Agent) Send(ctx context.Context, o jobs.Order) {
 	go func() {
@@ -211,7 +254,7 @@
 }
 
 func (a *Agent) send(ctx context.Context, o jobs.Order) {
-	ctx, cancel := context.WithTimeout(ctx, OrderTimeout)
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	confirmed := a.Sink.Confirmed()
 	switch o := o.(type) {
@@ -232,6 +275,9 @@
 			a.Sink.Fenced()
 		}
 		a.Sink.Started(o, result)
+		if result == jobs.StartNoAnswer {
+			a.refreshAfter(0)
+		}
 	case jobs.StopOrder:
 		err := a.Caller.Stop(ctx, o, a.Fence)
 		if errors.Is(err, ErrFenced) {
@@ -241,6 +287,9 @@
 			a.Logger.Debug("stop failed", "target", a.ID, "task", o.Task, "error", err)
 		}
 		a.Sink.Stopped(o, err == nil)
+		if err == nil {
+			a.refreshAfter(a.StopTimeout + refreshMargin)
+		}
 	case jobs.PaceOrder:
 		err := a.Caller.Pace(ctx, o, a.Fence)
 		if err != nil {
--- a/internal/jobs/target.go
+++ b/internal/jobs/target.go
@@ -15,7 +15,8 @@
 	registered bool  // on the live list
 	life       int64 // start of the life that was heard under our fence; 0 if none
 	heard      time.Time
-	unheard    bool // the last request got no answer
+	listSent   time.Time // when the newest list that was taken in was asked for
+	unheard    bool      // the last request got no answer
 	used       work.Resources
 	runs       map[runKey]*run
 	ordered    []*run          // the same runs, in the order in which they were planned
@@ -191,6 +192,10 @@
 // Listed takes in a target's list.
 func (p *Pool) Listed(now time.Time, l work.List) {
 	t := p.known(l.Target)
+	if l.Sent.Before(t.listSent) {
+		return // a later list has been taken in; what this one adds comes again
+	}
+	t.listSent = l.Sent
 	t.heard, t.unheard = now, false
 	if t.life != l.Born {
 		p.newLife(now, t, l.Born)
--- a/internal/shard/targets.go
+++ b/internal/shard/targets.go
@@ -64,14 +64,15 @@
 		h.cancel()
 	}
 	ctx, cancel := context.WithCancel(s.ctx)
-	a := agent.New(reg.ID)
+	a := agent.New(ctx, reg.ID)
 	a.Caller = s.Targets.Caller(reg)
 	a.Fence, a.Lease, a.Clock, a.Inherited = p.Fence, leaseTime, s.Clock, s.inherited()
+	a.StopTimeout = s.Bounds.StopTimeout
 	if h != nil { // the former agent gave leases at the old address
 		a.Inherited = s.Clock.Now().Add(longestLease)
 	}
 	a.Logger = s.Logger
 	a.Sink = &sink{shard: s, pool: p}
 	p.agents[reg.ID] = &agentHandle{Agent: a, reg: reg, cancel: cancel}
-	go a.Run(ctx)
+	go a.Run()
 }
