Enter each process's strength into a topic, so that weak ones stand by whoever holds the partitions

Ruled out: load of the machine (it came back alone). Change: a register of processes, pinged; standing by lasts while all partitions are held. Test addresses of daemons no longer collide with ports of connections.

--- a/internal/fakes/log.go
+++ b/internal/fakes/log.go
@@ -71,6 +71,8 @@
 	defer l.mu.Unlock()
 	p := l.part(to)
 	switch {
+	case w.Name == "":
+		w.Epoch, w.Seq = p.epoch, p.seq
 	case w.Epoch < p.epoch:
 		return cmp.Or(fault, plog.ErrFenced)
 	case len(records) == 0: // sets the epoch and takes no place in the sequence
--- a/internal/jobd/daemon.go
+++ b/internal/jobd/daemon.go
@@ -82,6 +82,7 @@
 
 	service *Service
 	owners  *owners
+	standby *standby
 	member  *group.Member
 	direct  *direct.Directory
 	// targetWatch follows the registrations while this process owns a partition.
@@ -151,7 +152,8 @@
 	membership, cancel := context.WithCancel(ctx)
 	var left sync.WaitGroup
 	left.Go(func() {
-		d.owners.first(membership) // so that a weak process doesn't join only to leave
+		d.standby.check(membership) // so that a weak process doesn't join only to leave
+		left.Go(func() { d.standby.Run(membership) })
 		d.member.Run(membership)
 	})
 	return func() {
@@ -180,13 +182,16 @@
 
 func (d *Daemon) build() {
 	s, p := d.Settings, d.Platform
-	d.owners = &owners{Log: p.Log, Group: groupName, CPU: s.CPU(), Clock: d.Clock, Logger: d.Logger, wake: make(chan struct{}, 1)}
+	d.owners = &owners{Log: p.Log, Group: groupName, Clock: d.Clock, Logger: d.Logger, wake: make(chan struct{}, 1)}
 	d.member = &group.Member{
-		Log: p.Log, Group: groupName, ID: newMemberID(s.Peer, time.Now(), s.CPU()), Topics: []plog.Topic{shard.JobsTopic},
-		TTL: max(groupTTL, s.Log.MinTTL.Duration), Start: d.startOwner, Standby: d.owners.LeftToOthers, Left: func() { d.hintOthers(d.ctx) }, Clock: d.Clock, Logger: d.Logger,
+		Log: p.Log, Group: groupName, ID: newMemberID(s.Peer, time.Now()), Topics: []plog.Topic{shard.JobsTopic},
+		TTL: max(groupTTL, s.Log.MinTTL.Duration), Start: d.startOwner, Standby: func() bool { return d.standby.On() }, Left: func() { d.hintOthers(d.ctx) }, Clock: d.Clock, Logger: d.Logger,
 	}
 	d.member.Init()
 	d.service = &Service{Parts: s.Log.Parts, Self: s.Peer, Member: d.member, Owners: d.owners, Links: &link.Client{}, Clock: d.Clock, Logger: d.Logger}
+	d.standby = &standby{
+		Log: p.Log, Self: s.Peer, CPU: s.CPU(), Links: d.service.Links, Owners: d.owners, Parts: s.Log.Parts, Clock: d.Clock, Logger: d.Logger,
+	}
 	d.direct = &direct.Directory{Decode: p.DecodeTarget, Clock: d.Clock, Logger: d.Logger}
 }
 
--- a/internal/jobd/owners.go
+++ b/internal/jobd/owners.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"fmt"
-	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -12,7 +10,6 @@
 
 	"github.com/toucanhatch/toucanhatch/internal/clock"
 	"github.com/toucanhatch/toucanhatch/internal/plog"
-	"github.com/toucanhatch/toucanhatch/internal/work"
 )
 
 const (
@@ -32,15 +29,12 @@
 
 	mu     sync.Mutex
 	byPart map[plog.TopicPartition]string
-	strong int // members that hold partitions on a VM of at least strongFactor times our processor
-	CPU    work.Millicores
 	wake   chan struct{}
 }
 
-// newMemberID names a process in the group by its peer address, the time of
-// its start, and the processor of its VM in thousandths of a core.
-func newMemberID(peer string, start time.Time, cpu work.Millicores) plog.MemberID {
-	return plog.MemberID(fmt.Sprintf("%s/%s/%d", peer, start.UTC().Format("20060102T150405.000000000"), cpu))
+// newMemberID names a process in the group by its peer address and the time of its start.
+func newMemberID(peer string, start time.Time) plog.MemberID {
+	return plog.MemberID(peer + "/" + start.UTC().Format("20060102T150405.000000000"))
 }
 
 func memberAddress(id plog.MemberID) string {
@@ -48,16 +42,6 @@
 	return addr
 }
 
-// memberCPU returns the processor of a member's VM; 0 if it isn't known.
-func memberCPU(id plog.MemberID) work.Millicores {
-	parts := strings.Split(string(id), "/")
-	n, err := strconv.Atoi(parts[len(parts)-1])
-	if err != nil {
-		return 0
-	}
-	return work.Millicores(n)
-}
-
 // Address returns the peer address of a partition's owner; empty if none is known.
 func (o *owners) Address(p plog.TopicPartition) string {
 	o.mu.Lock()
@@ -87,31 +71,6 @@
 	return len(o.byPart) > 0
 }
 
-// countStrong counts the members that are much stronger than this process.
-func (o *owners) countStrong(holders []plog.Holder) int {
-	strong := map[plog.MemberID]bool{}
-	for _, h := range holders {
-		if memberCPU(h.Member) >= strongFactor*o.CPU {
-			strong[h.Member] = true
-		}
-	}
-	return len(strong)
-}
-
-// LeftToOthers reports whether enough members are so much stronger that this process should own nothing.
-func (o *owners) LeftToOthers() bool {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	return o.CPU > 0 && o.strong >= minStrong
-}
-
-const (
-	// strongFactor is how many times our processor a member must have for us to stand by.
-	strongFactor = 2
-	// minStrong members are needed, so that the loss of one doesn't leave the partitions without an owner.
-	minStrong = 3
-)
-
 // Hint asks for a fresh read, since an owner did not answer or has changed.
 func (o *owners) Hint() {
 	select {
@@ -120,11 +79,11 @@
 	}
 }
 
-// first reads the holders once before this process joins the group; without an answer it joins anyway.
-func (o *owners) first(ctx context.Context) {
-	if err := o.read(ctx); err != nil {
-		o.Logger.Info("the holders can't be read before joining", "error", err)
-	}
+// Held returns how many partitions have a holder.
+func (o *owners) Held() int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return len(o.byPart)
 }
 
 // Run keeps the addresses fresh until ctx is done.
@@ -164,6 +123,6 @@
 			o.Logger.Debug("owner changed", "partition", p.Partition, "owner", a)
 		}
 	}
-	o.byPart, o.strong = byPart, o.countStrong(holders)
+	o.byPart = byPart
 	return nil
 }
--- a/internal/plog/plog.go
+++ b/internal/plog/plog.go
@@ -33,7 +33,8 @@
 	Value []byte
 }
 
-// Writer identifies the writer of an append, which the log applies at most once.
+// Writer identifies the writer of an append, which the log applies at most once. Without a name, an append is
+// neither fenced nor told from a repeat.
 type Writer struct {
 	Name  string
 	Epoch Epoch
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -76,19 +76,9 @@
 	exited chan struct{}
 }
 
-func freeAddr(t *testing.T) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	return l.Addr().String()
-}
-
 func newProcess(t *testing.T, n int, store string) *process {
 	t.Helper()
-	p := &process{t: t, n: n, dir: t.TempDir(), client: freeAddr(t), relay: &fakes.Relay{Upstream: store}}
+	p := &process{t: t, n: n, dir: t.TempDir(), client: stand.Addr(), relay: &fakes.Relay{Upstream: store}}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -97,7 +87,7 @@
 	go func() { _ = p.relay.Serve(l) }() // ends with the listener
 	p.settings = filepath.Join(p.dir, "settings.toml")
 	text := fmt.Sprintf("entry = \"entry-%d\"\nzone = \"z1\"\nclient = %q\nreadiness = %q\npeer = %q\ngrace = \"4s\"\n[log]\naddress = %q\nparts = 12\n[bounds]\nstop_timeout = \"400ms\"\n",
-		n, p.client, freeAddr(t), freeAddr(t), l.Addr().String())
+		n, p.client, stand.Addr(), stand.Addr(), l.Addr().String())
 	if err := os.WriteFile(p.settings, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
