--- a/internal/boot/dev.go
+++ b/internal/boot/dev.go
@@ -23,11 +23,12 @@
 
 const (
 	devHost = "desk.example"
-	devJob  = `{"spec":"400","phases":[{"count":4,"cpu":500,"mem-mb":64,"est-runtime-ms":400},` +
-		`{"count":2,"cpu":1000,"mem-mb":64,"est-runtime-ms":400,"depends-on":[0]}]}`
 	devWait = 20 * time.Second // for the first job
 )
 
+// devJob is the job that dev hands in: six tasks of 400 ms in two steps.
+var devJob = stand.TwoSteps("400", 400, 4, 2)
+
 func devCommand() *cli.Command {
 	return &cli.Command{
 		Name:  "dev",
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -230,7 +230,7 @@
 func (b *book) client(rng *rand.Rand, n int, all []*process, end time.Time) {
 	for i := 0; time.Now().Before(end); i++ {
 		path := fmt.Sprintf("/%s/%08x%08x", []string{"cut", "sew"}[rng.IntN(2)], n+1, i)
-		body := fmt.Sprintf(`{"spec":"%d","phases":[{"count":3,"cpu":1500,"mem-mb":64,"est-runtime-ms":300},{"count":2,"cpu":2000,"mem-mb":64,"est-runtime-ms":300,"depends-on":[0]}]}`, 100+rng.IntN(900))
+		body := stand.TwoSteps(fmt.Sprint(100+rng.IntN(900)), 300, 3, 2)
 		for range 6 {
 			status, _ := call(http.MethodPost, all[rng.IntN(len(all))].client, path, body)
 			b.told(path, status)
@@ -268,7 +268,7 @@
 		return 0, ""
 	}
 	req.Host = host
-	req.Header.Set("Deadline-Ms", "3000")
+	req.Header.Set(stand.DeadlineHeader, "3000")
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
 		return 0, ""
