--- a/internal/logio/logio.go
+++ b/internal/logio/logio.go
@@ -21,6 +21,7 @@
 type Writer struct {
 	to io.Writer
 
+	order   sync.Mutex // keeps two flushes from changing places
 	mu      sync.Mutex
 	buffer  bytes.Buffer
 	dropped int
@@ -48,6 +49,8 @@
 
 // Flush writes what waits.
 func (w *Writer) Flush() {
+	w.order.Lock()
+	defer w.order.Unlock()
 	w.mu.Lock()
 	out := bytes.Clone(w.buffer.Bytes())
 	w.buffer.Reset()
@@ -57,5 +60,7 @@
 	}
 	w.armed = false
 	w.mu.Unlock()
-	_, _ = w.to.Write(out) // there is nowhere to report a failure
+	if len(out) > 0 {
+		_, _ = w.to.Write(out) // there is nowhere to report a failure
+	}
 }
