Let a task wait until a start of its target's former life is refused in the next one

Cause: TestRandomFaults with 10,000 schedules failed after 2,878: a start without an answer, stopped in one life, arrived in the next life while the stop that was repeated there was on its way, and the task had been started there again. Ruled out: a start elsewhere (same target), fences (one owner). Change: a task without a run waits for that stop. The new test fails without the change; the failing schedule passes.

--- a/internal/jobs/pool_test.go
+++ b/internal/jobs/pool_test.go
@@ -256,3 +256,32 @@
 		}
 	}
 }
+
+// Guards against a task that starts again in a target's next life before a
+// start of the former one, which may still arrive, is refused there (found by
+// TestRandomFaults with 10,000 schedules).
+func TestTaskWaitsForItsGhost(t *testing.T) {
+	b := newBed(t, 1)
+	b.submit(smallStep)
+	b.p.Plan(b.now)
+	_, flush := b.p.Flush()
+	b.p.Durable(b.now, flush)
+	first := b.p.Orders()[0].(StartOrder)
+	b.p.Started(b.now, first.Target, first.Task, first.Attempt, StartNoAnswer)
+	b.list(first.Target)
+	b.p.Orders()
+	b.p.Stopped(b.now, first.Target, first.Task, first.Attempt, true)
+	b.now = b.now.Add(time.Second)
+	b.list(first.Target)
+	if got := b.settle(); len(got) != 1 {
+		t.Fatalf("%d starts after the first one was settled, want 1", len(got))
+	}
+	b.now = b.now.Add(time.Second)
+	b.p.Listed(b.now, work.List{Target: first.Target, Born: 2000, Sent: b.now})
+	b.p.Plan(b.now)
+	for _, r := range b.p.held {
+		if r.state == runPlanned {
+			t.Errorf("%v is planned as %d before the first start is refused in the new life", r.key.task, r.key.attempt)
+		}
+	}
+}
--- a/internal/jobs/target.go
+++ b/internal/jobs/target.go
@@ -232,7 +232,6 @@
 // newLife ends the runs of a target's former life. A start that may still be
 // on its way is stopped in the new life before its task starts elsewhere.
 func (p *Pool) newLife(now time.Time, t *target, born int64) {
-	p.layGhosts(now, t, born)
 	t.life, t.endSeq, t.acked, t.acks = born, 0, 0, nil
 	p.replan = true
 	for _, r := range t.list() {
@@ -247,6 +246,7 @@
 			p.lost(now, r, "the target has restarted")
 		}
 	}
+	p.layGhosts(now, t, born)
 }
 
 // layGhosts makes a new life refuse starts that were meant for the former one.
@@ -258,6 +258,12 @@
 			continue
 		}
 		r := &run{key: g.key, born: born, state: runRunning}
+		if j := p.jobs[g.key.task.Job]; j != nil && !j.over() {
+			if tk, st := j.find(g.key.task); tk != nil && !tk.done && tk.run == nil {
+				// The task starts again only after the stop, or the two would run side by side.
+				r.job, r.task, r.step, r.spec = j, tk, st, &j.spec.Steps[g.key.task.Step]
+			}
+		}
 		p.attach(r, t)
 		p.stop(now, r, "the target has restarted while a start was on its way")
 		t.ghosts = append(t.ghosts, g) // a further life would not know either
