--- a/internal/jobs/pool_test.go
+++ b/internal/jobs/pool_test.go
@@ -89,6 +89,17 @@
 	b.list(id, work.EndRow{Task: task, Attempt: attempt, Kind: kind})
 }
 
+// startWithoutAnswer sends a start that gets no answer, and delivers the target's list without it.
+func (b *bed) startWithoutAnswer() StartOrder {
+	b.p.Plan(b.now)
+	_, flush := b.p.Flush()
+	b.p.Durable(b.now, flush)
+	start := b.p.Orders()[0].(StartOrder)
+	b.p.Started(b.now, start.Target, start.Task, start.Attempt, StartNoAnswer)
+	b.list(start.Target)
+	return start
+}
+
 var (
 	smallStep   = work.Step{Count: 1, Need: work.Resources{CPU: 1000, Memory: 100}, Estimate: time.Second}
 	lastingStep = work.Step{Count: 3, Need: work.Resources{CPU: 1000, Memory: 100}, Lasting: true, MaxPerTarget: 1, MissBudget: 1}
@@ -199,12 +210,7 @@
 func TestNextLifeRefusesLateStarts(t *testing.T) {
 	b := newBed(t, 2)
 	b.submit(smallStep)
-	b.p.Plan(b.now)
-	_, flush := b.p.Flush()
-	b.p.Durable(b.now, flush)
-	start := b.p.Orders()[0].(StartOrder)
-	b.p.Started(b.now, start.Target, start.Task, start.Attempt, StartNoAnswer)
-	b.list(start.Target)
+	start := b.startWithoutAnswer()
 	if got := b.p.Orders(); len(got) != 1 {
 		t.Fatalf("orders after a list without the start: %v, want a stop", got)
 	}
@@ -263,12 +269,7 @@
 func TestTaskWaitsForItsGhost(t *testing.T) {
 	b := newBed(t, 1)
 	b.submit(smallStep)
-	b.p.Plan(b.now)
-	_, flush := b.p.Flush()
-	b.p.Durable(b.now, flush)
-	first := b.p.Orders()[0].(StartOrder)
-	b.p.Started(b.now, first.Target, first.Task, first.Attempt, StartNoAnswer)
-	b.list(first.Target)
+	first := b.startWithoutAnswer()
 	b.p.Orders()
 	b.p.Stopped(b.now, first.Target, first.Task, first.Attempt, true)
 	b.now = b.now.Add(time.Second)
--- a/internal/shard/write.go
+++ b/internal/shard/write.go
@@ -34,7 +34,6 @@
 	began   time.Time
 	flushes map[*pool]jobs.Flush
 	records map[*pool][]*jobs.Record
-	unsure  bool // an attempt got no answer
 	probes  []chan error
 }
 
@@ -77,7 +76,7 @@
 	var err error
 	for _, chunk := range chunks(records) {
 		s.seq++
-		if err = s.appendChunk(w, chunk); err != nil {
+		if err = s.appendChunk(chunk); err != nil {
 			s.seq--
 			break
 		}
@@ -102,7 +101,7 @@
 	return append(out, records[from:])
 }
 
-func (s *Shard) appendChunk(w *write, chunk []plog.Record) error {
+func (s *Shard) appendChunk(chunk []plog.Record) error {
 	unsure := false
 	timeout := writeTimeout
 	for {
@@ -114,7 +113,6 @@
 		case err == nil:
 			return nil
 		case errors.Is(err, plog.ErrFenced), errors.As(err, &out), s.ctx.Err() != nil:
-			w.unsure = w.unsure || unsure
 			return err
 		case errors.Is(err, plog.ErrRefused) && !unsure:
 			return err
@@ -124,7 +122,6 @@
 		}
 		s.Logger.Info("write repeated", "partition", s.Partition, "append", s.seq, "unsure", unsure, "error", err)
 		if clock.Sleep(s.ctx, s.Clock, retryPause) != nil {
-			w.unsure = w.unsure || unsure
 			return s.ctx.Err()
 		}
 	}
