Don't withdraw a write whose first part is stored

Cause: a write of more than 1 MiB goes out in several appends; a later one that the log refused withdrew the jobs of the whole write, so that stored jobs were refused (found by reading, KNOWN-RED). Ruled out: splitting the write by pool, as a pool's changes share one flush number. Change: once a part is stored, a refusal of a later part is repeated like an append without an answer. The test fails before the change (a stored job is refused) and passes after.

--- a/internal/shard/shard_test.go
+++ b/internal/shard/shard_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -146,3 +148,43 @@
 	default:
 	}
 }
+
+// Guards against stored jobs that are refused: a write that takes several
+// appends, of which a later one is refused after an earlier one was stored.
+func TestRefusalAfterAStoredPartWithdrawsNothing(t *testing.T) {
+	const count = 300 // with their payloads more than one append takes
+	log := &fakes.Log{}
+	s := start(t, log, 1)
+	var calls atomic.Int32
+	gathered := make(chan struct{})
+	log.Before = func(call string, _ plog.TopicPartition) (bool, error) {
+		if call != "append" {
+			return true, nil
+		}
+		switch calls.Add(1) {
+		case 1:
+			<-gathered // the jobs that come meanwhile share the next write
+		case 3:
+			return false, plog.ErrRefused
+		}
+		return true, nil
+	}
+	spec := *testSpec
+	spec.Payload = strings.Repeat("x", 4000)
+	results := make(chan error, count)
+	for i := range count {
+		go func() {
+			results <- s.Submit(t.Context(), testQueue, work.JobID(fmt.Sprintf("%016x", i+1)), &spec)
+		}()
+	}
+	time.Sleep(100 * time.Millisecond) // most of the jobs are in the mailbox or taken in
+	close(gathered)
+	for range count {
+		if err := <-results; err != nil {
+			t.Fatalf("submit: %v, want success: the refused part is repeated", err)
+		}
+	}
+	if got := calls.Load(); got < 4 {
+		t.Fatalf("%d appends, want the write to take several", got)
+	}
+}
--- a/internal/shard/write.go
+++ b/internal/shard/write.go
@@ -74,9 +74,10 @@
 // append sends the write until the log has answered it.
 func (s *Shard) append(w *write, records []plog.Record) {
 	var err error
-	for _, chunk := range chunks(records) {
+	for i, chunk := range chunks(records) {
 		s.seq++
-		if err = s.appendChunk(chunk); err != nil {
+		// Once a part is stored, a refusal of a later part must not withdraw the whole write.
+		if err = s.appendChunk(chunk, i > 0); err != nil {
 			s.seq--
 			break
 		}
@@ -101,8 +102,9 @@
 	return append(out, records[from:])
 }
 
-func (s *Shard) appendChunk(chunk []plog.Record) error {
-	unsure := false
+// appendChunk repeats an append until the log has answered it. It returns ErrRefused only
+// if nothing of the write can have been stored; unsure means that something may have been before.
+func (s *Shard) appendChunk(chunk []plog.Record, unsure bool) error {
 	timeout := writeTimeout
 	for {
 		ctx, cancel := context.WithTimeout(s.ctx, timeout)
