Deliver what is queued on a peer link that another link replaces

Cause: both sides dial at once, and the session that loses was closed with what was queued on it (TestLinks, once: message 7 arrived as number 0). Ruled out: a lost frame on one session. Send queues under the lock, so that nothing follows the last message.

--- a/internal/peer/dial.go
+++ b/internal/peer/dial.go
@@ -47,7 +47,7 @@
 	for _, m := range n.members {
 		if m.State == Up && now.Sub(m.heard) > silenceLimit {
 			if m.session != nil {
-				m.session.close()
+				m.session.closeAll()
 				m.lost = now
 			}
 			n.setState(m, Silent, "no heartbeat")
@@ -158,7 +158,7 @@
 	n.Logger.Warn("this process was paused; its view is stale", "pause", pause.String())
 	for _, m := range n.members {
 		if m.session != nil {
-			m.session.close()
+			m.session.closeAll()
 		}
 		m.reset()
 		if m.State == Up {
@@ -188,7 +188,7 @@
 	n.Logger.Warn("another entry had declared this process gone; it continues under a new incarnation")
 	for _, m := range n.members {
 		if m.session != nil {
-			m.session.close()
+			m.session.closeAll()
 		}
 		m.reset()
 	}
--- a/internal/peer/members.go
+++ b/internal/peer/members.go
@@ -72,7 +72,12 @@
 		if n.designated(old) && !n.designated(s) && old.remote.Incarnation == s.remote.Incarnation {
 			return duplicateLink
 		}
-		old.close()
+		if old.remote.Incarnation == s.remote.Incarnation && m.State == Up {
+			s.after = old // both were made at once; what is queued on the old one is not lost
+			old.retire()
+		} else {
+			old.closeAll()
+		}
 	}
 	changed := m.Incarnation != s.remote.Incarnation || m.Zone != s.remote.Zone || m.State != Up
 	m.session, m.heard = s, n.Clock.Now()
--- a/internal/peer/messages.go
+++ b/internal/peer/messages.go
@@ -70,7 +70,11 @@
 	Address     string        `cbor:"address"`
 }
 
+// last tells that no further message follows on a session that another one has replaced.
+type last struct{ wire.Body }
+
 func init() {
+	wire.Register[last]("peer_last")
 	wire.Register[greeting]("peer_greeting")
 	wire.Register[response]("peer_response")
 	wire.Register[verdict]("peer_verdict")
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -114,15 +114,12 @@
 		return n.self.push(data)
 	}
 	n.mu.Lock()
-	var s *session
-	if m := n.members[to]; m != nil {
-		s = m.session
-	}
-	n.mu.Unlock()
-	if s == nil || s.ended() {
+	defer n.mu.Unlock() // so that nothing is queued on a session after it was replaced
+	remote := n.members[to]
+	if remote == nil || remote.session == nil || remote.session.ended() {
 		return ErrNoLink
 	}
-	return s.push(data)
+	return remote.session.push(data)
 }
 
 // Run serves and keeps links until ctx is done.
@@ -184,6 +181,7 @@
 		}
 		s.close()
 	}()
+	n.awaitPredecessor(s)
 	for !s.ended() {
 		messages, err := s.readFrame(n.ctx)
 		if err != nil {
@@ -202,6 +200,20 @@
 	}
 }
 
+// awaitPredecessor waits until what the replaced session carries has been delivered or is lost.
+func (n *Node) awaitPredecessor(s *session) {
+	n.mu.Lock()
+	old := s.after
+	n.mu.Unlock()
+	if old == nil {
+		return
+	}
+	old.awaitLast(s.done)
+	n.mu.Lock()
+	s.after = nil
+	n.mu.Unlock()
+}
+
 // deliver passes one message on; the lock keeps the order between successive sessions with one entry.
 func (n *Node) deliver(s *session, m wire.Message) bool {
 	s.deliveredMu.Lock()
@@ -212,6 +224,8 @@
 	switch m := m.(type) {
 	case known:
 		n.learn(m)
+	case last:
+		s.drainOnce.Do(func() { close(s.drained) })
 	case verdict:
 		if m.Refusal == staleProcess {
 			n.renew(n.presentIncarnation())
@@ -286,7 +300,7 @@
 	defer n.mu.Unlock()
 	for _, m := range n.members {
 		if m.session != nil {
-			m.session.close()
+			m.session.closeAll()
 		}
 	}
 }
--- a/internal/peer/node_test.go
+++ b/internal/peer/node_test.go
@@ -153,6 +153,42 @@
 	wait(t, "the new b", func() bool { return a.sees("b", Up)() && c.sees("b", Up)() })
 }
 
+// Guards against messages that are lost or overtaken when both sides dial at once and
+// the second link replaces the first (TestLinks, once: message 7 arrived as number 0).
+func TestReplacedLinkLosesNothing(t *testing.T) {
+	la, lb := listen(t), listen(t)
+	a := start(t, "a", la, nil)
+	b := start(t, "b", lb, nil, la.Addr().String())
+	wait(t, "links", func() bool { return a.sees("b", Up)() && b.sees("a", Up)() })
+	const count, replaced = 2000, 20
+	go func() {
+		for range replaced {
+			time.Sleep(time.Millisecond)
+			if s, err := a.dialLink(t.Context(), lb.Addr().String()); err == nil {
+				a.dialed(s)
+			}
+		}
+	}()
+	for i := range count {
+		if err := a.Send("b", note{N: i}); err != nil {
+			t.Fatal(err)
+		}
+		if err := b.Send("a", note{N: i}); err != nil {
+			t.Fatal(err)
+		}
+		if i%20 == 0 {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	for _, n := range []*testNode{a, b} {
+		for i := range count {
+			if got := <-n.got; got != i {
+				t.Fatalf("%s: message %d arrived as number %d", n.ID, got, i)
+			}
+		}
+	}
+}
+
 // Guards against a wrong key that is accepted, or that fills the log.
 func TestWrongKey(t *testing.T) {
 	la := listen(t)
--- a/internal/peer/session.go
+++ b/internal/peer/session.go
@@ -22,6 +22,9 @@
 	maxQueueBytes = int(8 * ident.MiB)
 	maxQueue      = 8192
 	writeTimeout  = 3 * time.Second
+
+	// drainLimit is how long a replaced session may take to deliver what was queued on it; a heartbeat's period.
+	drainLimit = heartbeat
 )
 
 // session is one authenticated connection to another entry.
@@ -31,6 +34,11 @@
 	dialedByUs  bool
 	done        chan struct{} // closed when the session has ended
 	closeOnce   sync.Once
+	retired     chan struct{} // closed when another session has replaced this one
+	retireOnce  sync.Once
+	drained     chan struct{} // closed when the other side has sent its last message
+	drainOnce   sync.Once
+	after       *session      // the session that this one replaced, whose messages come first; Node.mu guards it
 	deliveredMu *sync.Mutex // orders deliveries of successive sessions with one entry
 	*outbox
 }
@@ -39,7 +47,30 @@
 	conn.SetReadLimit(maxFrame)
 	return &session{
 		conn: conn, remote: remote, dialedByUs: dialedByUs,
-		done: make(chan struct{}), outbox: newOutbox(),
+		done: make(chan struct{}), retired: make(chan struct{}), drained: make(chan struct{}), outbox: newOutbox(),
+	}
+}
+
+// retire makes the session send what is queued, and end once the other side has done so too.
+func (s *session) retire() { s.retireOnce.Do(func() { close(s.retired) }) }
+
+// awaitLast returns once the last message of a replaced session has been delivered; after drainLimit the session ends.
+func (s *session) awaitLast(canceled <-chan struct{}) {
+	limit := time.NewTimer(drainLimit)
+	defer limit.Stop()
+	select {
+	case <-s.drained:
+	case <-s.done:
+	case <-canceled:
+	case <-limit.C:
+		s.close()
+	}
+}
+
+// closeAll ends the session and the one that it replaced; queued messages are lost. The caller holds Node.mu.
+func (s *session) closeAll() {
+	for x := s; x != nil; x = x.after {
+		x.close()
 	}
 }
 
@@ -68,22 +99,44 @@
 		select {
 		case <-s.wake:
 		case <-idle.C:
+		case <-s.retired:
+			return s.finish(ctx)
 		case <-s.done:
 			return nil
 		}
-		for {
-			batch, more := s.take(maxBatch)
-			if err := s.writeFrame(ctx, batch); err != nil {
-				return err
-			}
-			idle.Reset(period)
-			if !more {
-				break
-			}
+		if err := s.flush(ctx); err != nil {
+			return err
+		}
+		idle.Reset(period)
+	}
+}
+
+// flush sends a frame, and more while messages are queued.
+func (s *session) flush(ctx context.Context) error {
+	for {
+		batch, more := s.take(maxBatch)
+		if err := s.writeFrame(ctx, batch); err != nil || !more {
+			return err
 		}
 	}
 }
 
+// finish sends what is queued on a replaced session and waits for the other side to do the same.
+func (s *session) finish(ctx context.Context) error {
+	if err := s.flush(ctx); err != nil {
+		return err
+	}
+	data, err := wire.Encode(last{})
+	if err != nil {
+		return err
+	}
+	if err := s.writeFrame(ctx, [][]byte{data}); err != nil {
+		return err
+	}
+	s.awaitLast(nil)
+	return nil
+}
+
 func (s *session) writeFrame(ctx context.Context, batch [][]byte) error {
 	frame, err := wire.Marshal(batch)
 	if err != nil {
