Tell the balancer at once that a zone is cut off, and clients when to come back

Cause: in a zone that is cut off, processes pinged the owners they knew; some of these lay in the same zone, cut off as well, and answered. Ruled out: the time of the takeover (1.4 s) and the owners outside, which accepted all that reached them. Change: the answer to a ping says the zone and how long the log has been silent; a process of the own zone that doesn't hear from the log proves nothing. The balancer's check asks at once instead of waiting for the limit.

--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -15,8 +15,8 @@
 )
 
 const (
-	// joinPeriod leaves several joins within the ttl.
-	joinPeriod = 300 * time.Millisecond
+	// JoinPeriod is the time between two joins; it leaves several of them within the ttl.
+	JoinPeriod = 300 * time.Millisecond
 	// joinTimeout is under the ttl, so that a lost answer is followed by another join in time.
 	joinTimeout  = 800 * time.Millisecond
 	leaveTimeout = 500 * time.Millisecond
@@ -102,7 +102,7 @@
 				m.Logger.Info("standing by: stronger members hold the partitions")
 				m.Left()
 			}
-			_ = clock.Sleep(ctx, m.Clock, joinPeriod) // the loop checks the context
+			_ = clock.Sleep(ctx, m.Clock, JoinPeriod) // the loop checks the context
 			continue
 		}
 		joined = true
@@ -110,7 +110,7 @@
 		if again {
 			continue
 		}
-		pause, cancel := context.WithTimeout(ctx, joinPeriod)
+		pause, cancel := context.WithTimeout(ctx, JoinPeriod)
 		select {
 		case <-m.wake:
 		case <-pause.Done():
--- a/internal/jobd/daemon.go
+++ b/internal/jobd/daemon.go
@@ -188,7 +188,7 @@
 		TTL: max(groupTTL, s.Log.MinTTL.Duration), Start: d.startOwner, Standby: func() bool { return d.standby.On() }, Left: func() { d.hintOthers(d.ctx) }, Clock: d.Clock, Logger: d.Logger,
 	}
 	d.member.Init()
-	d.service = &Service{Parts: s.Log.Parts, Self: s.Peer, Member: d.member, Owners: d.owners, Links: &link.Client{}, Clock: d.Clock, Logger: d.Logger}
+	d.service = &Service{Parts: s.Log.Parts, Self: s.Peer, Zone: s.Zone, Zones: len(s.Zones), Member: d.member, Owners: d.owners, Links: &link.Client{}, Clock: d.Clock, Logger: d.Logger}
 	d.standby = &standby{
 		Log: p.Log, Self: s.Peer, CPU: s.CPU(), Links: d.service.Links, Owners: d.owners, Parts: s.Log.Parts, Clock: d.Clock, Logger: d.Logger,
 	}
@@ -222,8 +222,8 @@
 }
 
 // readiness tells the balancer whether this process can serve clients.
-func (d *Daemon) readiness(w http.ResponseWriter, _ *http.Request) {
-	if d.stopping.Load() || d.service.routes.Load() == nil || !d.owners.Known() || !d.service.Connected() {
+func (d *Daemon) readiness(w http.ResponseWriter, r *http.Request) {
+	if d.stopping.Load() || d.service.routes.Load() == nil || !d.owners.Known() || !d.service.Reachable(r.Context()) {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
--- a/internal/jobd/service.go
+++ b/internal/jobd/service.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/hashicorp/go-hclog"
 
+	"github.com/toucanhatch/toucanhatch/internal/admit"
 	"github.com/toucanhatch/toucanhatch/internal/clock"
 	"github.com/toucanhatch/toucanhatch/internal/group"
 	"github.com/toucanhatch/toucanhatch/internal/jobs"
@@ -28,12 +29,17 @@
 	ErrNoConfig = errors.New("the configuration has not been read yet")
 	// ErrNoQueue means that the configuration has no such queue.
 	ErrNoQueue = errors.New("there is no such queue")
-	// ErrNotRun means that the request was not carried out and will not be.
-	ErrNotRun = errors.New("not run")
 	// ErrUnknown means that the request may have been carried out; the client may send it again under the same id.
 	ErrUnknown = errors.New("the outcome is not known")
 )
 
+// NotRunError means that the request was not carried out and will not be,
+// since the pool's owner or the log is out of reach.
+type NotRunError struct{ RetryAfter time.Duration }
+
+// Error tells when to come back.
+func (e *NotRunError) Error() string { return "not run, come back in " + e.RetryAfter.String() }
+
 const (
 	// ownerWait is how long a request waits for a pool's owner: the time of a
 	// planned hand-over. Beyond it the client is told to come back.
@@ -48,6 +54,8 @@
 type Service struct {
 	Parts  int
 	Self   string // peer address of this process
+	Zone   ident.ZoneID
+	Zones  int // zones with entry VMs
 	Member *group.Member
 	Owners *owners
 	Links  *link.Client
@@ -55,9 +63,9 @@
 	Logger hclog.Logger
 
 	routes  atomic.Pointer[route.Table]
-	reached atomic.Int64 // Unix nanoseconds of Clock when another process last answered
+	reached atomic.Int64 // Unix nanoseconds of Clock when another process last showed that this one isn't cut off
 	wall    wallClock
-	cutOff  atomic.Bool // neither the log nor another process answers
+	cutOff  atomic.Bool // neither the log nor a process that is not cut off answers
 
 	wavesMu sync.Mutex
 	waves   []work.Wave
@@ -106,7 +114,7 @@
 func (s *Service) Handle(ctx context.Context, m link.Method, body []byte) ([]byte, error) {
 	switch m {
 	case methodPing:
-		return nil, nil
+		return link.Handle(func(context.Context, struct{}) (standing, error) { return s.standing(), nil })(ctx, body)
 	case methodTime:
 		return link.Handle(func(context.Context, struct{}) (clockReading, error) {
 			return clockReading{Now: s.Clock.Now().UnixNano()}, nil
@@ -155,7 +163,7 @@
 	case errors.As(err, &refused):
 		r.Outcome, r.RetryAfter = outcomeRefused, refused.RetryAfter
 	case errors.Is(err, shard.ErrNotStored):
-		r.Outcome = outcomeNotRun
+		r.Outcome, r.RetryAfter = outcomeNotRun, admit.ReturnAfterOutage(s.standing().SinceLog)
 	case errors.Is(err, shard.ErrNotOwner):
 		r.Outcome = outcomeNotOwner
 	default:
@@ -204,7 +212,6 @@
 	}
 	r, err := link.Call[reply](ctx, s.Links, addr, m, a)
 	if err == nil {
-		s.reached.Store(s.Clock.Now().UnixNano())
 		return r
 	}
 	s.Logger.Info("the owner did not answer", "job", a.Job, "method", m, "owner", addr, "error", err)
@@ -280,7 +287,7 @@
 }
 
 // Submit hands a job in. The error is nil once the job is stored, a
-// [*shard.RefusedError] or [ErrNotRun] if it never will be, and [ErrUnknown] otherwise.
+// [*shard.RefusedError] or a [*NotRunError] if it never will be, and [ErrUnknown] otherwise.
 func (s *Service) Submit(ctx context.Context, host, path string, id work.JobID, spec *work.Spec) error {
 	q, _, err := s.find(host, path)
 	if err != nil {
@@ -295,12 +302,24 @@
 	case r.Outcome == outcomeRefused:
 		err = &shard.RefusedError{RetryAfter: r.RetryAfter}
 	default:
-		err = ErrNotRun
+		err = s.notRun(r)
 	}
-	s.Logger.Info("submit", "job", id, "queue", q.ID, "pool", q.Pool, "outcome", r.Outcome, "unsure", unsure)
+	s.Logger.Info("submit", "job", id, "queue", q.ID, "pool", q.Pool, "outcome", r.Outcome, "unsure", unsure, "retry_after", r.RetryAfter)
 	return err
 }
 
+// notRun tells a client when to come back.
+func (s *Service) notRun(r reply) error {
+	switch {
+	case !s.Connected():
+		return &NotRunError{RetryAfter: admit.ReturnElsewhere}
+	case r.Outcome == outcomeNotRun:
+		return &NotRunError{RetryAfter: r.RetryAfter}
+	default:
+		return &NotRunError{RetryAfter: admit.ReturnAfterOutage(0)}
+	}
+}
+
 // Cancel cancels a job; known is false if there is no such job.
 func (s *Service) Cancel(ctx context.Context, host, path string, id work.JobID) (known bool, err error) {
 	q, _, err := s.find(host, path)
@@ -333,7 +352,7 @@
 		s.Logger.Info("state of an unknown job", "job", id, "queue", q.ID)
 		return "", false, nil
 	default:
-		return "", false, ErrNotRun
+		return "", false, s.notRun(r)
 	}
 }
 
@@ -345,7 +364,7 @@
 	}
 	r, _ := s.do(ctx, methodPending, ask{Queue: q})
 	if r.Outcome != outcomeOK {
-		return 0, ErrNotRun
+		return 0, s.notRun(r)
 	}
 	return r.Pending, nil
 }
--- a/internal/peer/session.go
+++ b/internal/peer/session.go
@@ -38,7 +38,7 @@
 	retireOnce  sync.Once
 	drained     chan struct{} // closed when the other side has sent its last message
 	drainOnce   sync.Once
-	after       *session      // the session that this one replaced, whose messages come first; Node.mu guards it
+	after       *session    // the session that this one replaced, whose messages come first; Node.mu guards it
 	deliveredMu *sync.Mutex // orders deliveries of successive sessions with one entry
 	*outbox
 }
