--- a/internal/jobs/report.go
+++ b/internal/jobs/report.go
@@ -23,6 +23,8 @@
 	// longer one keeps a pool from shrinking between two bursts.
 	fastWindow = 500 * time.Millisecond
 	slowWindow = 1500 * time.Millisecond
+	// riseLead is how far ahead a rise is extrapolated: two thirds of the time that a VM takes to move, as a turn soon levels off.
+	riseLead = time.Second
 	// seenFor is longer than clients go on trying.
 	seenFor = 15 * time.Second
 	maxSeen = 4096
@@ -55,6 +57,14 @@
 	a.slow += float64(d.Work) / float64(slowWindow)
 }
 
+// forecast extrapolates a rise over riseLead; 0 if there is none.
+func (a *arrival) forecast() float64 {
+	if a.fast <= a.slow {
+		return 0
+	}
+	return a.fast + (a.fast-a.slow)*float64(riseLead)/float64(slowWindow-fastWindow)
+}
+
 func (a *arrival) forget(now time.Time) {
 	for id, at := range a.seen {
 		if now.Sub(at) > seenFor {
@@ -76,7 +86,9 @@
 	p.reserve = d.Reserve
 	p.arrival.decay(now)
 	p.arrival.forget(now)
-	out := sizer.Pool{ID: p.ID, Arrival: work.Millicores(1000 * max(p.arrival.fast, p.arrival.slow))}
+	out := sizer.Pool{
+		ID: p.ID, Arrival: work.Millicores(1000 * max(p.arrival.fast, p.arrival.slow)), Forecast: work.Millicores(1000 * p.arrival.forecast()),
+	}
 	for _, t := range p.sorted() {
 		p.Cordon(t.ID, d.Cordons[t.ID])
 		if !t.registered {
--- a/internal/sizer/sizer.go
+++ b/internal/sizer/sizer.go
@@ -17,6 +17,8 @@
 	Runnable work.Resources  `cbor:"5,keyasint"`           // asked for by tasks that could start
 	Lasting  work.Resources  `cbor:"6,keyasint"`           // held by tasks that last
 	Arrival  work.Millicores `cbor:"7,keyasint,omitempty"` // processor time asked for per time by new jobs
+	// Forecast is Arrival by the time that a VM takes to move, if it goes on rising; 0 if it doesn't rise.
+	Forecast work.Millicores `cbor:"10,keyasint,omitempty"`
 	// Incoming is the room of VMs on their way into the pool.
 	Incoming work.Millicores `cbor:"8,keyasint,omitempty"`
 	// Spread is the number of targets that the step needs whose tasks have to be the most apart.
@@ -53,7 +55,7 @@
 	// cushion is the number of VMs that a pool keeps beyond its need, so that the next job finds room at once.
 	cushion = 1
 	// parkAfter is how long a VM must have been idle to be parked. A move costs what a VM in a pool costs in about 1.2 s.
-	parkAfter = 2 * time.Second
+	parkAfter = time.Second
 	// keepSpare is the number of VMs to spare that a pool keeps for the start of its turn; what is beyond is parked.
 	keepSpare = 3
 	// balanceAfter is how long a VM must have been idle to be moved to a pool that merely has less to spare.
@@ -67,7 +69,7 @@
 // need is the number of VMs of the given room that a pool needs.
 func need(p *Pool, room work.Resources) int {
 	active := p.Running.Plus(p.Runnable)
-	cores := p.Lasting.CPU + work.Millicores(headroom*float64(max(active.CPU, p.Arrival)))
+	cores := p.Lasting.CPU + max(p.Forecast, work.Millicores(headroom*float64(max(active.CPU, p.Arrival))))
 	memory := p.Lasting.Memory + work.Mebibytes(headroom*float64(active.Memory))
 	n := max(p.Spread, quotient(int64(cores), int64(room.CPU)), quotient(int64(memory), int64(room.Memory)))
 	return n + cushion
@@ -228,7 +230,7 @@
 				to = p
 			}
 		}
-		if from == nil || from == to || from.spare()-to.spare() < balanceGap {
+		if from == nil || from == to || to.spare() >= keepSpare || from.spare()-to.spare() < balanceGap {
 			return moves
 		}
 		m, ok := s.move(from, to, "the pool has less to spare")
