--- a/internal/admit/admit.go
+++ b/internal/admit/admit.go
@@ -8,6 +8,7 @@
 	Capacity float64       // cores of the targets that may be given tasks
 	Jobs     int           // active jobs
 	Reserve  float64       // cores on their way to the pool, or that can be lent to it
+	Settling bool          // the pool has just been taken over, so that Capacity and Reserve may be far too low
 }
 
 // Demand is what a new job asks for.
@@ -46,6 +47,9 @@
 	if d.Lasting || d.Scheduled {
 		return Verdict{Admit: true}
 	}
+	if l.Settling {
+		return Verdict{Admit: true, Reason: "the pool has just been taken over"}
+	}
 	capacity := l.Capacity + l.Reserve
 	if capacity <= 0 {
 		return Verdict{Admit: true, Reason: "no target is known yet"}
--- a/internal/jobd/daemon.go
+++ b/internal/jobd/daemon.go
@@ -152,7 +152,7 @@
 	membership, cancel := context.WithCancel(ctx)
 	var left sync.WaitGroup
 	left.Go(func() {
-		d.standby.check(membership) // so that a weak process doesn't join only to leave
+		d.standby.await(membership)
 		left.Go(func() { d.standby.Run(membership) })
 		d.member.Run(membership)
 	})
--- a/internal/jobd/standby.go
+++ b/internal/jobd/standby.go
@@ -29,6 +29,11 @@
 	// unheldChecks is how many checks in a row have to find partitions without a holder for a process to stop standing by.
 	unheldChecks   = 2
 	standbyTimeout = time.Second
+	// startWait is how long a weak process that starts waits for stronger ones that are entered but don't answer
+	// yet: after the loss of all processes they start within a second of each other.
+	startWait = 1500 * time.Millisecond
+	// startPause is the time between two looks for them.
+	startPause = 150 * time.Millisecond
 )
 
 // standby decides whether this process leaves the partitions to stronger VMs.
@@ -43,8 +48,9 @@
 	Clock  clock.Clock
 	Logger hclog.Logger
 
-	on     atomic.Bool
-	unheld int
+	on      atomic.Bool
+	unheld  int
+	entered int // stronger processes, whether they answer or not
 }
 
 // entry is what a process says of its VM.
@@ -100,11 +106,13 @@
 			return
 		}
 	}
-	strong, err := s.strong(ctx)
+	peers, err := s.stronger(ctx)
 	if err != nil {
 		s.Logger.Info("the other processes can't be read", "error", err)
 		return
 	}
+	s.entered = len(peers)
+	strong := s.answering(ctx, peers)
 	on := strong >= minStrong
 	if on != s.on.Swap(on) {
 		s.Logger.Info("standby has changed", "on", on, "stronger", strong, "cpu", s.CPU)
@@ -112,8 +120,22 @@
 	s.unheld = 0
 }
 
-// strong returns how many processes on much stronger VMs answer.
-func (s *standby) strong(ctx context.Context) (int, error) {
+// await checks until enough of the stronger processes answer, or startWait has
+// passed, so that a weak process doesn't join the group only to leave it.
+func (s *standby) await(ctx context.Context) {
+	for began := s.Clock.Now(); ; {
+		s.check(ctx)
+		if s.on.Load() || s.entered < minStrong || s.Clock.Now().Sub(began) >= startWait {
+			return
+		}
+		if clock.Sleep(ctx, s.Clock, startPause) != nil {
+			return
+		}
+	}
+}
+
+// stronger returns the addresses of the processes on much stronger VMs, whether they answer or not.
+func (s *standby) stronger(ctx context.Context) ([]string, error) {
 	ctx, cancel := context.WithTimeout(ctx, standbyTimeout)
 	defer cancel()
 	var peers []string
@@ -121,7 +143,7 @@
 	for {
 		page, err := s.Log.Newest(ctx, plog.TopicPartition{Topic: entriesTopic}, after)
 		if err != nil {
-			return 0, errors.Wrap(err, "processes")
+			return nil, errors.Wrap(err, "processes")
 		}
 		for _, r := range page.Records {
 			after = r.Key
@@ -135,7 +157,7 @@
 			}
 		}
 		if !page.More {
-			return s.answering(ctx, peers), nil
+			return peers, nil
 		}
 	}
 }
--- a/internal/jobd/standby_test.go
+++ b/internal/jobd/standby_test.go
@@ -71,3 +71,31 @@
 		t.Error("still stands by though nobody holds the partitions and the strong ones are gone")
 	}
 }
+
+// Guards against partitions that change hands twice after the loss of all processes: weak ones join since the
+// strong ones don't answer yet, and leave again (umurimo-hatch-grown trouble-2, 2 s after the return).
+func TestWeakProcessWaitsForTheStrongAtItsStart(t *testing.T) {
+	log := &fakes.Log{}
+	weak := &standby{
+		Log: log, Self: stand.Addr(), CPU: 192, Links: &link.Client{}, Owners: &owners{}, Parts: 2, Clock: clock.System(), Logger: hclog.NewNullLogger(),
+	}
+	for range minStrong {
+		addr := stand.Addr()
+		s := &standby{Log: log, Self: addr, CPU: 800}
+		if err := s.announce(t.Context()); err != nil { // before the loss
+			t.Fatal(err)
+		}
+		time.AfterFunc(400*time.Millisecond, func() {
+			l, err := link.Listen(t.Context(), addr)
+			if err != nil {
+				return // the test has ended
+			}
+			server := &link.Server{Listener: l, Handler: func(context.Context, link.Method, []byte) ([]byte, error) { return nil, nil }}
+			_ = server.Run(t.Context()) // ends with the test
+		})
+	}
+	began := time.Now()
+	if weak.await(t.Context()); !weak.On() {
+		t.Errorf("joins after %v although three stronger processes are starting", time.Since(began))
+	}
+}
--- a/internal/jobs/learn.go
+++ b/internal/jobs/learn.go
@@ -4,14 +4,49 @@
 	"time"
 
 	"github.com/toucanhatch/toucanhatch/internal/work"
+	"github.com/toucanhatch/toucanhatch/pkg/ident"
 )
 
 // ratio is the learned quotient of true to stated run times of a queue. It is a
 // quotient of sums: a mean of the tasks' quotients would exceed what the sum of
 // many tasks takes, since estimates that are too low give the largest quotients.
 type ratio struct {
-	took   time.Duration // decaying sums
-	stated time.Duration
+	_      struct{}      `cbor:",toarray"`
+	Took   time.Duration // decaying sums
+	Stated time.Duration
+}
+
+// Knowledge is what the next owner of a pool should know besides its jobs. It
+// is no loss if it is old: without it the estimates are taken as they are.
+type Knowledge struct {
+	Pool   ident.PoolID            `cbor:"1,keyasint"`
+	Ratios map[work.QueueID]*ratio `cbor:"2,keyasint"`
+}
+
+// Knowledge returns what the pool has learned; nil if that is nothing.
+func (p *Pool) Knowledge() *Knowledge {
+	if len(p.learned) == 0 {
+		return nil
+	}
+	return &Knowledge{Pool: p.ID, Ratios: p.learned}
+}
+
+// Recall takes over what a former owner had learned. Call it before the first event.
+func (p *Pool) Recall(k *Knowledge) {
+	for id, r := range k.Ratios {
+		if r != nil && r.Took >= 0 && r.Stated >= 0 {
+			p.learned[id] = r
+		}
+	}
+}
+
+// Encode returns the bytes that [DecodeKnowledge] reads.
+func (k *Knowledge) Encode() ([]byte, error) { return encodeMode.Marshal(k) }
+
+// DecodeKnowledge reads what a former owner has stored.
+func DecodeKnowledge(b []byte) (*Knowledge, error) {
+	k := &Knowledge{}
+	return k, decodeMode.Unmarshal(b, k)
 }
 
 const (
@@ -30,11 +65,11 @@
 	return 1
 }
 
-func (r *ratio) value() float64 { return float64(r.took+ratioPrior) / float64(r.stated+ratioPrior) }
+func (r *ratio) value() float64 { return float64(r.Took+ratioPrior) / float64(r.Stated+ratioPrior) }
 
 func (r *ratio) add(took, stated time.Duration) {
-	r.took = time.Duration(ratioDecay*float64(r.took)) + min(took, maxSample*stated)
-	r.stated = time.Duration(ratioDecay*float64(r.stated)) + stated
+	r.Took = time.Duration(ratioDecay*float64(r.Took)) + min(took, maxSample*stated)
+	r.Stated = time.Duration(ratioDecay*float64(r.Stated)) + stated
 }
 
 // learn compares the run time of a task with its estimate.
--- a/internal/jobs/pool.go
+++ b/internal/jobs/pool.go
@@ -24,6 +24,8 @@
 	Bounds Bounds
 	// Events receives each decision for the log; nil drops them.
 	Events func(Event)
+	// Began is when the owner took the pool over. Until its targets have answered, load is no reason to refuse jobs.
+	Began time.Time
 
 	wallOffset time.Duration
 	queues     map[work.QueueID]work.Queue
@@ -97,7 +99,7 @@
 	p.learnQueue(queue)
 	demand := p.demand(queue, spec)
 	p.arrival.add(now, id, demand)
-	verdict := admit.Decide(p.load(), demand)
+	verdict := admit.Decide(p.load(now), demand)
 	if !verdict.Admit {
 		p.event(Event{Kind: EventRefused, Job: id, Queue: queue.ID, Detail: verdict.Reason, Delay: verdict.RetryAfter})
 		return Submission{Refused: true, RetryAfter: verdict.RetryAfter}
@@ -196,6 +198,9 @@
 	p.learnQueue(r.Queue)
 	j := restoreJob(p, now, r)
 	p.add(now, j)
+	if len(j.occurrences) > 0 || r.Spec.Repeat == 0 {
+		p.arrival.restore(now, now.Add(r.Accepted.Sub(p.wall(now))), r.ID, p.demand(r.Queue, &r.Spec))
+	}
 	p.replan = true
 }
 
--- a/internal/jobs/report.go
+++ b/internal/jobs/report.go
@@ -24,7 +24,7 @@
 	fastWindow = 500 * time.Millisecond
 	slowWindow = 1500 * time.Millisecond
 	// riseLead is how far ahead a rise is extrapolated: two thirds of the time that a VM takes to move, as a turn soon levels off.
-	riseLead = time.Second
+	riseLead = 1800 * time.Millisecond
 	// seenFor is longer than clients go on trying.
 	seenFor = 15 * time.Second
 	maxSeen = 4096
@@ -57,6 +57,21 @@
 	a.slow += float64(d.Work) / float64(slowWindow)
 }
 
+// restore counts a job that came before the present owner. Jobs may be given in any order.
+func (a *arrival) restore(now, at time.Time, id work.JobID, d admit.Demand) {
+	age := max(now.Sub(at), 0)
+	if age > seenFor || d.Lasting || d.Scheduled {
+		return
+	}
+	if a.seen == nil {
+		a.seen = map[work.JobID]time.Time{}
+	}
+	a.seen[id] = at
+	a.decay(now)
+	a.fast += math.Exp(-float64(age)/float64(fastWindow)) * float64(d.Work) / float64(fastWindow)
+	a.slow += math.Exp(-float64(age)/float64(slowWindow)) * float64(d.Work) / float64(slowWindow)
+}
+
 // forecast extrapolates a rise over riseLead; 0 if there is none.
 func (a *arrival) forecast() float64 {
 	if a.fast <= a.slow {
--- a/internal/jobs/steps_test.go
+++ b/internal/jobs/steps_test.go
@@ -232,3 +232,43 @@
 		t.Errorf("the forecast of the sum is %.2f times what was taken, want 0.9 to 1.1", got)
 	}
 }
+
+// Guards against an owner that begins without what its predecessor knew: it would rate its work by the
+// clients' estimates, see no demand for seconds, and refuse jobs before its targets have answered
+// (umurimo-hatch-grown trouble-2: 115 refused after the return of all processes).
+func TestSuccessorKnowsTheDemand(t *testing.T) {
+	b := newBed(t, 2)
+	b.p.learned["q"] = &ratio{Took: 30 * time.Second, Stated: 15 * time.Second}
+	wide := smallStep
+	wide.Count = 8
+	var records []*Record
+	for i := range 10 {
+		b.now = b.now.Add(100 * time.Millisecond)
+		b.p.Submit(b.now, work.JobID(fmt.Sprintf("%016x", i+1)), testQueue, &work.Spec{Steps: []work.Step{wide}})
+		r, _ := b.p.Flush()
+		records = append(records, r...)
+	}
+	want := b.p.Report(b.now, Directions{}).Arrival
+	encoded, err := b.p.Knowledge().Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	k, err := DecodeKnowledge(encoded)
+	if err != nil {
+		t.Fatal(err)
+	}
+	next := NewPool("pool")
+	next.Bounds, next.Began = b.p.Bounds, b.now
+	next.Recall(k)
+	for i := range records {
+		next.Restore(b.now, records[len(records)-1-i])
+	}
+	if got := next.Report(b.now, Directions{}).Arrival; got < want*9/10 || got > want*11/10 {
+		t.Errorf("the successor reports demand of %d, the former owner %d", got, want)
+	}
+	for i := range 100 {
+		if a := next.Submit(b.now, work.JobID(fmt.Sprintf("%016x", i+100)), testQueue, &work.Spec{Steps: []work.Step{wide}}); a.Refused {
+			t.Fatalf("job %d is refused before a target has answered", i)
+		}
+	}
+}
--- a/internal/jobs/tick.go
+++ b/internal/jobs/tick.go
@@ -202,9 +202,12 @@
 	}
 }
 
+// settleTime is how long after a takeover the pool's capacity is not known: its targets are asked, and whoever steers the VMs may have changed too.
+const settleTime = 2500 * time.Millisecond
+
 // load sums up what the pool has to do.
-func (p *Pool) load() admit.Load {
-	l := admit.Load{Jobs: len(p.active), Reserve: float64(p.reserve) / 1000}
+func (p *Pool) load(now time.Time) admit.Load {
+	l := admit.Load{Jobs: len(p.active), Reserve: float64(p.reserve) / 1000, Settling: now.Sub(p.Began) < settleTime}
 	for _, j := range p.active {
 		if !j.spec.Lasting() {
 			_, total := p.remaining(j)
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -103,6 +103,8 @@
 	probes    []chan error // requests that wait for a proof of ownership
 	seq       int64
 	expires   []plog.Record
+	knowledge []*jobs.Knowledge // of the former owner
+	noted     time.Time         // when the pools' knowledge was last written
 	expired   time.Time
 	begun     time.Time
 	planned   time.Time // the last round of planning
@@ -189,6 +191,9 @@
 	s.Targets.Fresh(fresh)
 	cancel()
 	now := s.Clock.Now()
+	for _, k := range s.knowledge {
+		s.pool(k.Pool).Recall(k)
+	}
 	for _, r := range records {
 		s.pool(r.Pool).Restore(now, r)
 	}
@@ -265,7 +270,7 @@
 	p := s.pools[id]
 	if p == nil {
 		p = &pool{Pool: jobs.NewPool(id), agents: map[work.TargetID]*agentHandle{}}
-		p.Fence = work.Fence(s.Epoch)
+		p.Fence, p.Began = work.Fence(s.Epoch), s.begun
 		p.Bounds = s.Bounds
 		p.Bounds.Inherit, p.Bounds.Lease = inheritTime, longestLease
 		p.Events = s.Events
--- a/internal/shard/write.go
+++ b/internal/shard/write.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -25,6 +26,10 @@
 	// proofKey is written where nothing else is to be, to prove the ownership: an
 	// empty append would not count in the writer's sequence. No job has this key.
 	proofKey = "~proof"
+	// knowledgePrefix precedes a pool's id in the key of its owner's knowledge. No job has such a key.
+	knowledgePrefix = "~pool/"
+	// notePeriod is how often the knowledge is written beside other records; it changes slowly.
+	notePeriod = 2 * time.Second
 	// maxWriteBytes bounds the records of one call, well under the log's limit.
 	maxWriteBytes = 1 << 20
 )
@@ -66,11 +71,33 @@
 	if len(records) == 0 {
 		return
 	}
+	records = s.noteKnowledge(now, records)
 	w.probes, s.probes = s.probes, nil
 	s.write = w
 	go s.append(w, records)
 }
 
+// noteKnowledge adds what the pools have learned to a write, once in a while.
+func (s *Shard) noteKnowledge(now time.Time, records []plog.Record) []plog.Record {
+	if now.Sub(s.noted) < notePeriod {
+		return records
+	}
+	s.noted = now
+	for _, p := range s.pools {
+		k := p.Knowledge()
+		if k == nil {
+			continue
+		}
+		value, err := k.Encode()
+		if err != nil {
+			s.Logger.Error("knowledge can't be encoded", "pool", p.ID, "error", err)
+			continue
+		}
+		records = append(records, plog.Record{Key: knowledgePrefix + string(p.ID), Value: value})
+	}
+	return records
+}
+
 // append sends the write until the log has answered it.
 func (s *Shard) append(w *write, records []plog.Record) {
 	var err error
@@ -209,7 +236,7 @@
 		}
 		for _, r := range page.Records {
 			after = r.Key
-			if r.Key == proofKey {
+			if r.Key == proofKey || s.readKnowledge(r) {
 				continue
 			}
 			record, err := jobs.DecodeRecord(r.Value)
@@ -225,6 +252,20 @@
 	}
 }
 
+// readKnowledge reports whether the record is a pool's knowledge, and keeps it if it can be read.
+func (s *Shard) readKnowledge(r plog.Record) bool {
+	if !strings.HasPrefix(r.Key, knowledgePrefix) {
+		return false
+	}
+	k, err := jobs.DecodeKnowledge(r.Value)
+	if err != nil {
+		s.Logger.Error("knowledge can't be read", "partition", s.Partition, "key", r.Key, "error", err)
+		return true
+	}
+	s.knowledge = append(s.knowledge, k)
+	return true
+}
+
 // retry repeats a call until it succeeds, the shard ends, or a later owner is there.
 func (s *Shard) retry(f func(ctx context.Context) error) error {
 	for {
--- a/internal/sizer/sizer.go
+++ b/internal/sizer/sizer.go
@@ -69,7 +69,7 @@
 // need is the number of VMs of the given room that a pool needs.
 func need(p *Pool, room work.Resources) int {
 	active := p.Running.Plus(p.Runnable)
-	cores := p.Lasting.CPU + max(p.Forecast, work.Millicores(headroom*float64(max(active.CPU, p.Arrival))))
+	cores := p.Lasting.CPU + max(p.Forecast, work.Millicores(headroom*float64(active.CPU)), work.Millicores(headroom*float64(p.Arrival))+p.Runnable.CPU)
 	memory := p.Lasting.Memory + work.Mebibytes(headroom*float64(active.Memory))
 	n := max(p.Spread, quotient(int64(cores), int64(room.CPU)), quotient(int64(memory), int64(room.Memory)))
 	return n + cushion
