Judge by the majority of owners whether this process is cut off

Ruled out: the zone as evidence at all; a setting for the number of zones goes again. Change: a process is reachable if an owner answers that hears from the log, or if most owners answer, so that it is the log that is out of reach for all. TestReachable has the new cases; with the former rule the second one fails.

--- a/internal/jobd/daemon.go
+++ b/internal/jobd/daemon.go
@@ -188,7 +188,7 @@
 		TTL: max(groupTTL, s.Log.MinTTL.Duration), Start: d.startOwner, Standby: func() bool { return d.standby.On() }, Left: func() { d.hintOthers(d.ctx) }, Clock: d.Clock, Logger: d.Logger,
 	}
 	d.member.Init()
-	d.service = &Service{Parts: s.Log.Parts, Self: s.Peer, Zone: s.Zone, Zones: len(s.Zones), Member: d.member, Owners: d.owners, Links: &link.Client{}, Clock: d.Clock, Logger: d.Logger}
+	d.service = &Service{Parts: s.Log.Parts, Self: s.Peer, Member: d.member, Owners: d.owners, Links: &link.Client{}, Clock: d.Clock, Logger: d.Logger}
 	d.standby = &standby{
 		Log: p.Log, Self: s.Peer, CPU: s.CPU(), Links: d.service.Links, Owners: d.owners, Parts: s.Log.Parts, Clock: d.Clock, Logger: d.Logger,
 	}
--- a/internal/jobd/reach.go
+++ b/internal/jobd/reach.go
@@ -2,15 +2,12 @@
 
 import (
 	"context"
-	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
 	"github.com/toucanhatch/toucanhatch/internal/clock"
 	"github.com/toucanhatch/toucanhatch/internal/group"
 	"github.com/toucanhatch/toucanhatch/internal/link"
-	"github.com/toucanhatch/toucanhatch/pkg/ident"
 )
 
 const (
@@ -23,29 +20,30 @@
 	freshAnswer = group.JoinPeriod + 50*time.Millisecond
 	// pingTimeout bounds a ping of another process; it is many round trips between zones.
 	pingTimeout = 250 * time.Millisecond
-	// pingPeers is the number of processes that are pinged at a time.
-	pingPeers = 3
 )
 
 // standing is what a process says of itself in answer to a ping.
 type standing struct {
-	Zone     ident.ZoneID  `cbor:"1,keyasint,omitempty"`
-	SinceLog time.Duration `cbor:"2,keyasint,omitempty"` // since the log last answered it
+	SinceLog time.Duration `cbor:"1,keyasint,omitempty"` // since the log last answered it
 }
 
-// proves reports whether the answer of another process shows that this one is
-// not cut off. A process of the same zone that doesn't hear from the log may be
-// cut off as well. One of another zone shows that it is the log that is out of
-// reach, for all alike, so that no other process could serve clients better.
-func (s *Service) proves(other standing) bool {
-	return other.SinceLog <= reachLimit || other.Zone != s.Zone || s.Zones < 2
+// serves reports whether clients can be served here as well as anywhere, by what the owners answered: one of them
+// hears from the log, or most of them answer, so that it is the log that is out of reach, for all alike. A few that
+// don't hear from the log may be cut off together with this process.
+func serves(owners int, answers []standing) bool {
+	for _, a := range answers {
+		if a.SinceLog <= reachLimit {
+			return true
+		}
+	}
+	return 2*len(answers) > owners
 }
 
 func (s *Service) standing() standing {
-	return standing{Zone: s.Zone, SinceLog: s.Clock.Now().Sub(s.Member.Confirmed())}
+	return standing{SinceLog: s.Clock.Now().Sub(s.Member.Confirmed())}
 }
 
-// Connected reports whether the log, or a process that is not cut off itself, has answered lately.
+// Connected reports whether something has lately shown that clients can be served here.
 func (s *Service) Connected() bool { return !s.cutOff.Load() }
 
 // Reachable finds out whether clients can be served here, for the balancer's check.
@@ -80,21 +78,31 @@
 	return s.Clock.Now().Sub(last)
 }
 
-// pingOwners asks some owners, chosen at random so that all zones are asked in a few rounds.
+// pingOwners asks all owners, of which there are at most as many as partitions.
 func (s *Service) pingOwners(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
 	defer cancel()
-	addrs := slices.DeleteFunc(s.Owners.Addresses(), func(addr string) bool { return addr == s.Self })
-	rand.Shuffle(len(addrs), func(i, j int) { addrs[i], addrs[j] = addrs[j], addrs[i] })
+	sent := s.Clock.Now()
+	addrs := s.Owners.Addresses()
+	var mu sync.Mutex
+	var answers []standing
 	var wg sync.WaitGroup
-	for _, addr := range addrs[:min(len(addrs), pingPeers)] {
+	for _, addr := range addrs {
 		wg.Go(func() {
-			sent := s.Clock.Now()
-			other, err := link.Call[standing](ctx, s.Links, addr, methodPing, struct{}{})
-			if err == nil && s.proves(other) {
-				s.reached.Store(sent.UnixNano())
+			answer := s.standing()
+			if addr != s.Self {
+				var err error
+				if answer, err = link.Call[standing](ctx, s.Links, addr, methodPing, struct{}{}); err != nil {
+					return // silence speaks for itself
+				}
 			}
+			mu.Lock()
+			defer mu.Unlock()
+			answers = append(answers, answer)
 		})
 	}
 	wg.Wait()
+	if serves(len(addrs), answers) {
+		s.reached.Store(sent.UnixNano())
+	}
 }
--- a/internal/jobd/reach_test.go
+++ b/internal/jobd/reach_test.go
@@ -12,7 +12,6 @@
 	"github.com/toucanhatch/toucanhatch/internal/group"
 	"github.com/toucanhatch/toucanhatch/internal/link"
 	"github.com/toucanhatch/toucanhatch/internal/plog"
-	"github.com/toucanhatch/toucanhatch/pkg/ident"
 	"github.com/toucanhatch/toucanhatch/platform/stand"
 )
 
@@ -29,29 +28,32 @@
 	return addr
 }
 
-// Guards against a process in a zone that is cut off which stays ready because another process of the same zone
-// answers, so that the balancer sends it clients that it can't serve (umurimo-hatch-grown trouble-1, 182 refused).
+// Guards against processes that are cut off and stay ready since others that are cut off with them answer, in the
+// same zone (umurimo-hatch-grown trouble-1, 182 refused) or in several (scale-2, 210 refused in its first seconds).
 func TestReachable(t *testing.T) {
 	const fresh, old = 100 * time.Millisecond, 5 * time.Second
 	for _, test := range []struct {
-		name  string
-		zones int
-		other standing
-		want  bool
+		name   string
+		silent int // owners that don't answer
+		others []standing
+		want   bool
 	}{
-		{"same zone, hears from the log", 3, standing{"z1", fresh}, true},
-		{"same zone, is cut off too", 3, standing{"z1", old}, false},
-		{"another zone, the log is down for all", 3, standing{"z2", old}, true},
-		{"the only zone, the log is down", 1, standing{"z1", old}, true},
+		{"one hears from the log", 5, []standing{{old}, {fresh}}, true},
+		{"a few that don't hear from the log", 4, []standing{{old}, {old}}, false},
+		{"most answer, the log is down for all", 1, []standing{{old}, {old}, {old}}, true},
+		{"none answers", 3, nil, false},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			addr := neighbor(t, test.other)
+			held := &owners{byPart: map[plog.TopicPartition]string{}}
+			for range test.silent {
+				held.byPart[plog.TopicPartition{Partition: plog.Partition(len(held.byPart))}] = stand.Addr() // nobody listens
+			}
+			for _, other := range test.others {
+				held.byPart[plog.TopicPartition{Partition: plog.Partition(len(held.byPart))}] = neighbor(t, other)
+			}
 			member := &group.Member{Clock: clock.System(), Logger: hclog.NewNullLogger()}
 			member.Init()
-			s := &Service{
-				Zone: ident.ZoneID("z1"), Zones: test.zones, Member: member, Links: &link.Client{}, Clock: clock.System(), Logger: hclog.NewNullLogger(),
-				Owners: &owners{byPart: map[plog.TopicPartition]string{{Topic: "jobs"}: addr}},
-			}
+			s := &Service{Member: member, Links: &link.Client{}, Clock: clock.System(), Logger: hclog.NewNullLogger(), Owners: held}
 			if got := s.Reachable(t.Context()); got != test.want {
 				t.Errorf("reachable = %v, want %v", got, test.want)
 			}
--- a/internal/jobd/service.go
+++ b/internal/jobd/service.go
@@ -54,8 +54,6 @@
 type Service struct {
 	Parts  int
 	Self   string // peer address of this process
-	Zone   ident.ZoneID
-	Zones  int // zones with entry VMs
 	Member *group.Member
 	Owners *owners
 	Links  *link.Client
--- a/internal/jobd/settings.go
+++ b/internal/jobd/settings.go
@@ -14,15 +14,13 @@
 
 // Settings are the settings of one jobs daemon.
 type Settings struct {
-	Entry ident.EntryID `toml:"entry"`
-	Zone  ident.ZoneID  `toml:"zone"`
-	// Zones are all zones with entry VMs; with one or none named, the log's outages are not told from cuts of the zone.
-	Zones     []ident.ZoneID `toml:"zones"`
-	Client    string         `toml:"client"`    // address that clients use, IP:port
-	Readiness string         `toml:"readiness"` // address of the readiness check, IP:port
-	Peer      string         `toml:"peer"`      // address for the other daemons, IP:port
-	Metrics   string         `toml:"metrics"`   // address for counters and histograms, IP:port
-	Log       LogSettings    `toml:"log"`
+	Entry     ident.EntryID `toml:"entry"`
+	Zone      ident.ZoneID  `toml:"zone"`
+	Client    string        `toml:"client"`    // address that clients use, IP:port
+	Readiness string        `toml:"readiness"` // address of the readiness check, IP:port
+	Peer      string        `toml:"peer"`      // address for the other daemons, IP:port
+	Metrics   string        `toml:"metrics"`   // address for counters and histograms, IP:port
+	Log       LogSettings   `toml:"log"`
 	// Machines is the address of the service that moves VMs; empty where there is none.
 	Machines string `toml:"machines"`
 	// Advice is the address of the service that says which targets may run a step; empty where there is none.
