Ask two owners first, and answer the balancer's check by what they say

Change: two owners first, the others only if none of the two hears from the log; the check answers what was just found.

--- a/internal/jobd/owners_test.go
+++ b/internal/jobd/owners_test.go
@@ -5,13 +5,11 @@
 	"testing"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/toucanhatch/toucanhatch/internal/clock"
 	"github.com/toucanhatch/toucanhatch/internal/link"
 	"github.com/toucanhatch/toucanhatch/internal/plog"
-	"github.com/toucanhatch/toucanhatch/platform/stand"
 )
 
 // silentLog tells nobody who holds the partitions.
@@ -25,20 +23,10 @@
 // (umurimo-hatch-grown scale-2: 249 answers 503 in 12 s, as the pool had passed to another process).
 func TestOwnersAreLearnedFromPeers(t *testing.T) {
 	part := plog.TopicPartition{Topic: "jobs", Partition: 2}
-	relay := func(h holdings) string {
-		addr := stand.Addr()
-		l, err := link.Listen(t.Context(), addr)
-		if err != nil {
-			t.Fatal(err)
-		}
-		server := &link.Server{Listener: l, Handler: func(context.Context, link.Method, []byte) ([]byte, error) { return cbor.Marshal(h) }}
-		go func() { _ = server.Run(t.Context()) }() // ends with the test
-		return addr
-	}
 	table := func(owner string, age time.Duration) holdings {
 		return holdings{Age: age, Holdings: []holding{{Topic: part.Topic, Partition: part.Partition, Address: owner}}}
 	}
-	stale, fresh := relay(table("former", time.Minute)), relay(table("present", time.Second))
+	stale, fresh := neighbor(t, table("former", time.Minute)), neighbor(t, table("present", time.Second))
 	o := &owners{
 		Log:   silentLog{},
 		Links: &link.Client{}, Clock: clock.System(), Logger: hclog.NewNullLogger(), wake: make(chan struct{}, 1),
--- a/internal/jobd/reach.go
+++ b/internal/jobd/reach.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -19,7 +21,9 @@
 	// freshAnswer is how old the last sign may be for the balancer's check to rely on it: one join, and its way.
 	freshAnswer = group.JoinPeriod + 50*time.Millisecond
 	// pingTimeout bounds a ping of another process; it is many round trips between zones.
-	pingTimeout = 250 * time.Millisecond
+	pingTimeout = 200 * time.Millisecond
+	// firstPings is the number of owners that are asked first; as a rule one of them hears from the log.
+	firstPings = 2
 )
 
 // standing is what a process says of itself in answer to a ping.
@@ -31,12 +35,11 @@
 // hears from the log, or most of them answer, so that it is the log that is out of reach, for all alike. A few that
 // don't hear from the log may be cut off together with this process.
 func serves(owners int, answers []standing) bool {
-	for _, a := range answers {
-		if a.SinceLog <= reachLimit {
-			return true
-		}
-	}
-	return 2*len(answers) > owners
+	return hearsLog(answers) || 2*len(answers) > owners
+}
+
+func hearsLog(answers []standing) bool {
+	return slices.ContainsFunc(answers, func(a standing) bool { return a.SinceLog <= reachLimit })
 }
 
 func (s *Service) standing() standing {
@@ -48,10 +51,7 @@
 
 // Reachable finds out whether clients can be served here, for the balancer's check.
 func (s *Service) Reachable(ctx context.Context) bool {
-	if s.sinceAnswer() > freshAnswer {
-		s.pingOwners(ctx)
-	}
-	return s.sinceAnswer() <= freshAnswer+pingTimeout
+	return s.sinceAnswer() <= freshAnswer || s.pingOwners(ctx)
 }
 
 // watchReach notices when this process is cut off from everything, and when that ends.
@@ -78,12 +78,27 @@
 	return s.Clock.Now().Sub(last)
 }
 
-// pingOwners asks all owners, of which there are at most as many as partitions.
-func (s *Service) pingOwners(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
-	defer cancel()
+// pingOwners asks a few owners, and all others only if none of these hears from the log. It reports whether clients can be served here.
+func (s *Service) pingOwners(ctx context.Context) bool {
 	sent := s.Clock.Now()
 	addrs := s.Owners.Addresses()
+	rand.Shuffle(len(addrs), func(i, j int) { addrs[i], addrs[j] = addrs[j], addrs[i] })
+	few := min(len(addrs), firstPings)
+	answers := s.ping(ctx, addrs[:few])
+	if !hearsLog(answers) {
+		answers = append(answers, s.ping(ctx, addrs[few:])...)
+	}
+	ok := serves(len(addrs), answers)
+	if ok {
+		s.reached.Store(sent.UnixNano())
+	}
+	return ok
+}
+
+// ping asks processes, perhaps this one among them, and returns what those that answer say.
+func (s *Service) ping(ctx context.Context, addrs []string) []standing {
+	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
+	defer cancel()
 	var mu sync.Mutex
 	var answers []standing
 	var wg sync.WaitGroup
@@ -102,7 +117,5 @@
 		})
 	}
 	wg.Wait()
-	if serves(len(addrs), answers) {
-		s.reached.Store(sent.UnixNano())
-	}
+	return answers
 }
--- a/internal/jobd/reach_test.go
+++ b/internal/jobd/reach_test.go
@@ -15,15 +15,15 @@
 	"github.com/toucanhatch/toucanhatch/platform/stand"
 )
 
-// neighbor starts a process that answers pings with the given standing, and returns its peer address.
-func neighbor(t *testing.T, of standing) string {
+// neighbor starts a process that gives the same answer to all requests, and returns its peer address.
+func neighbor(t *testing.T, answer any) string {
 	t.Helper()
 	addr := stand.Addr()
 	l, err := link.Listen(t.Context(), addr)
 	if err != nil {
 		t.Fatal(err)
 	}
-	server := &link.Server{Listener: l, Handler: func(context.Context, link.Method, []byte) ([]byte, error) { return cbor.Marshal(of) }}
+	server := &link.Server{Listener: l, Handler: func(context.Context, link.Method, []byte) ([]byte, error) { return cbor.Marshal(answer) }}
 	go func() { _ = server.Run(t.Context()) }() // ends with the test
 	return addr
 }
