--- a/internal/jobs/pool.go
+++ b/internal/jobs/pool.go
@@ -198,9 +198,7 @@
 	p.learnQueue(r.Queue)
 	j := restoreJob(p, now, r)
 	p.add(now, j)
-	if len(j.occurrences) > 0 || r.Spec.Repeat == 0 {
-		p.arrival.restore(now, now.Add(r.Accepted.Sub(p.wall(now))), r.ID, p.demand(r.Queue, &r.Spec))
-	}
+	p.arrival.restore(p.wall(now).Sub(r.Accepted), now, r.ID, p.demand(r.Queue, &r.Spec))
 	p.replan = true
 }
 
--- a/internal/jobs/report.go
+++ b/internal/jobs/report.go
@@ -57,16 +57,16 @@
 	a.slow += float64(d.Work) / float64(slowWindow)
 }
 
-// restore counts a job that came before the present owner. Jobs may be given in any order.
-func (a *arrival) restore(now, at time.Time, id work.JobID, d admit.Demand) {
-	age := max(now.Sub(at), 0)
+// restore counts a job of the given age that came before the present owner. Jobs may be given in any order.
+func (a *arrival) restore(age time.Duration, now time.Time, id work.JobID, d admit.Demand) {
+	age = max(age, 0) // the wall clocks of two owners differ
 	if age > seenFor || d.Lasting || d.Scheduled {
 		return
 	}
 	if a.seen == nil {
 		a.seen = map[work.JobID]time.Time{}
 	}
-	a.seen[id] = at
+	a.seen[id] = now.Add(-age)
 	a.decay(now)
 	a.fast += math.Exp(-float64(age)/float64(fastWindow)) * float64(d.Work) / float64(fastWindow)
 	a.slow += math.Exp(-float64(age)/float64(slowWindow)) * float64(d.Work) / float64(slowWindow)
