--- a/internal/jobs/report.go
+++ b/internal/jobs/report.go
@@ -23,7 +23,7 @@
 	// longer one keeps a pool from shrinking between two bursts.
 	fastWindow = 500 * time.Millisecond
 	slowWindow = 1500 * time.Millisecond
-	// riseLead is how far ahead a rise is extrapolated: two thirds of the time that a VM takes to move, as a turn soon levels off.
+	// riseLead is how far ahead a rise is extrapolated: the time from the order for a VM until it is registered, and a round.
 	riseLead = 1800 * time.Millisecond
 	// seenFor is longer than clients go on trying.
 	seenFor = 15 * time.Second
