Give orders for VMs a permission that ends well before a successor acts

Cause: the round of steering checked its ownership once; the write of the intent is then repeated as long as it takes, and the log answers a repeat of a stored write with its first success, also after a later writer has taken over. A successor also compared wall clocks of two VMs, which may differ by more than the lease. Ruled out: the fence at the log (the write was stored before it). Change: package permit; the permission counts from before the write and holds a third of the lease; the successor waits the lease from when it read the intent. The log stand-in answers repeats as the platform does.

--- a/internal/fakes/log.go
+++ b/internal/fakes/log.go
@@ -30,9 +30,13 @@
 	newest  map[string][]byte
 	epoch   plog.Epoch
 	seq     int64
+	recent  []plog.Writer // of the last appends, whose repeats get the first answer again
 	changed chan struct{}
 }
 
+// repeatable is how many appends a partition remembers.
+const repeatable = 5
+
 type fakeGroup struct {
 	generation plog.Generation
 	members    map[plog.MemberID]time.Time // until when each is a member
@@ -73,6 +77,8 @@
 	switch {
 	case w.Name == "":
 		w.Epoch, w.Seq = p.epoch, p.seq
+	case len(records) > 0 && slices.Contains(p.recent, w):
+		return fault // a repeat, also after a later writer has taken over
 	case w.Epoch < p.epoch:
 		return cmp.Or(fault, plog.ErrFenced)
 	case len(records) == 0: // sets the epoch and takes no place in the sequence
@@ -81,12 +87,13 @@
 		}
 		return fault
 	case w.Epoch == p.epoch && p.seq < 0: // the first append of an epoch may have any number
-	case w.Epoch == p.epoch && w.Seq <= p.seq && w.Seq > p.seq-5:
-		return fault // a repeat
 	case w.Epoch == p.epoch && w.Seq != p.seq+1:
 		return &plog.SeqError{Expected: p.seq + 1}
 	}
 	p.epoch, p.seq = w.Epoch, w.Seq
+	if w.Name != "" {
+		p.recent = append(p.recent[max(0, len(p.recent)-repeatable+1):], w)
+	}
 	for _, r := range records {
 		p.records = append(p.records, r)
 		if len(r.Value) == 0 {
--- a/internal/steer/steer.go
+++ b/internal/steer/steer.go
@@ -10,6 +10,7 @@
 
 	"github.com/toucanhatch/toucanhatch/internal/clock"
 	"github.com/toucanhatch/toucanhatch/internal/jobs"
+	"github.com/toucanhatch/toucanhatch/internal/permit"
 	"github.com/toucanhatch/toucanhatch/internal/plog"
 	"github.com/toucanhatch/toucanhatch/internal/sizer"
 	"github.com/toucanhatch/toucanhatch/internal/upkeep"
@@ -28,6 +29,9 @@
 	settleTime = 2 * time.Second
 	// busyPause is how long a VM is left alone after the service refused an order for it.
 	busyPause = time.Second
+	// sendShare is the part of a VM's lease in which an order for it may leave after its intent. A successor waits for the
+	// whole lease; the rest is for orders that are long on their way.
+	sendShare = 3
 	// moveTime is how long a moved VM is counted as on its way, if it isn't seen before.
 	moveTime = 4 * time.Second
 )
@@ -80,12 +84,17 @@
 	unsure bool
 }
 
-// Run does rounds until ctx is done.
-func (s *Steer) Run(ctx context.Context) {
+// init fences former holders and reads what they left.
+func (s *Steer) init(ctx context.Context) error {
 	s.orders = map[work.MachineID]*order{}
 	s.cordons = map[ident.PoolID]map[work.TargetID]jobs.CordonReason{}
 	s.store = &store{log: s.Log, epoch: s.Epoch, clock: s.Clock, logger: s.Logger}
-	if err := s.store.load(ctx); err != nil {
+	return s.store.load(ctx)
+}
+
+// Run does rounds until ctx is done.
+func (s *Steer) Run(ctx context.Context) {
+	if err := s.init(ctx); err != nil {
 		s.Logger.Info("steering ended before it began", "error", err)
 		return
 	}
@@ -116,15 +125,25 @@
 	ready := s.planWaves(now, machines, pools, next)
 	ready = append(ready, s.planMoves(now, machines, pools, next)...)
 	s.cordons = next
-	if err := s.store.intend(ctx, ready); err != nil {
+	if err := s.perform(ctx, ready); err != nil {
+		return err
+	}
+	return s.publish(ctx, machines)
+}
+
+// perform stores the intents of orders and sends these.
+func (s *Steer) perform(ctx context.Context, orders []ready) error {
+	// The log may answer a repeated write after a successor has taken over, so the permission counts from before it.
+	allowed := permit.Permit{Until: s.Clock.Now().Add(s.Lease / sendShare), Clock: s.Clock}
+	if err := s.store.intend(ctx, orders); err != nil {
 		return err
 	}
 	var wg sync.WaitGroup
-	for _, r := range ready {
-		wg.Go(func() { s.carryOut(ctx, r) })
+	for _, r := range orders {
+		wg.Go(func() { s.carryOut(permit.With(ctx, allowed), r) })
 	}
 	wg.Wait()
-	return s.publish(ctx, machines)
+	return nil
 }
 
 func (s *Steer) machines(ctx context.Context) (map[work.MachineID]work.Machine, error) {
@@ -223,6 +242,8 @@
 		if r.kind == jobs.CordonUpkeep {
 			s.store.begun(r.wave, r.machine)
 		}
+	case errors.Is(err, permit.ErrExpired):
+		delete(s.orders, r.machine)
 	case errors.Is(err, upkeep.ErrRefused):
 		o.until = s.Clock.Now().Add(busyPause)
 	default:
--- a/internal/steer/store.go
+++ b/internal/steer/store.go
@@ -21,9 +21,11 @@
 const FleetTopic plog.Topic = "fleet"
 
 const (
-	writerName    = "steer"
-	writeTimeout  = time.Second
-	writePause    = 50 * time.Millisecond
+	writerName   = "steer"
+	writeTimeout = time.Second
+	writePause   = 50 * time.Millisecond
+	// maxSkew bounds the difference between two VMs' wall clocks, of which the platform's pages say that they jump by seconds.
+	maxSkew       = 20 * time.Second
 	machinePrefix = "machine/"
 	wavePrefix    = "wave/"
 )
@@ -39,6 +41,7 @@
 	mu     sync.Mutex
 	waves  map[int64]*waveState
 	orders map[work.MachineID]intent // of former holders
+	loaded time.Time                 // when orders was read
 }
 
 // intent is the last order that a holder was about to give for a VM.
@@ -81,6 +84,7 @@
 			s.read(r)
 		}
 		if !page.More {
+			s.loaded = s.clock.Now()
 			return nil
 		}
 	}
@@ -142,10 +146,11 @@
 	return s.append(ctx, position(), records)
 }
 
-// leasedUntil returns until when a VM is left to a former holder.
+// leasedUntil returns until when a VM is left to a former holder. The lease counts from when the intent was read, since
+// the wall clocks of two holders may differ; by them only intents that are old anyway are passed over.
 func (s *store) leasedUntil(id work.MachineID, lease time.Duration) time.Time {
-	if i, ok := s.orders[id]; ok {
-		return i.At.Add(lease)
+	if i, ok := s.orders[id]; ok && s.loaded.Sub(i.At).Abs() < lease+maxSkew {
+		return s.loaded.Add(lease)
 	}
 	return time.Time{}
 }
