--- a/internal/jobs/plan.go
+++ b/internal/jobs/plan.go
@@ -57,7 +57,7 @@
 	sum := work.Millicores(0)
 	for _, t := range p.targets {
 		if t.registered && !t.Draining && t.cordon == NoCordon && !t.unheard && t.life != 0 {
-			sum += t.Room.CPU - t.lastingCPU()
+			sum += t.Room.CPU - t.lasting
 		}
 	}
 	return float64(sum) / 1000
--- a/internal/jobs/target.go
+++ b/internal/jobs/target.go
@@ -26,10 +26,11 @@
 	index      int             // in the present round of planning; -1 if it takes no part
 	cordon     CordonReason
 	idleSince  time.Time
-	shunned    time.Time            // no starts before
-	endSeq     int64                // highest end that was taken in
-	over       map[runKey]time.Time // runs that ended lately in the present life, by when that was heard
-	ghosts     []ghost              // starts that may still arrive, though their task needs them no longer
+	shunned    time.Time           // no starts before
+	endSeq     int64               // highest end that was taken in
+	over       map[runKey]struct{} // runs that ended lately in the present life
+	overOrder  []endedRun          // the same, in the order in which that was heard
+	ghosts     []ghost             // starts that may still arrive, though their task needs them no longer
 	acks       []ackMark
 	acked      int64 // ends up to here may be acknowledged
 	verdict    judge.Verdict
@@ -233,13 +234,25 @@
 // overTime is how long an older list may arrive after one with an end: longer than any request for a list waits.
 const overTime = 5 * time.Second
 
+type endedRun struct {
+	key runKey
+	at  time.Time
+}
+
 // noteOver remembers that a run has ended, and forgets what ended long ago.
 func (t *target) noteOver(now time.Time, key runKey) {
 	if t.over == nil {
-		t.over = map[runKey]time.Time{}
+		t.over = map[runKey]struct{}{}
+	}
+	if _, noted := t.over[key]; noted {
+		return
+	}
+	t.over[key] = struct{}{}
+	t.overOrder = append(t.overOrder, endedRun{key, now})
+	for now.Sub(t.overOrder[0].at) > overTime {
+		delete(t.over, t.overOrder[0].key)
+		t.overOrder = t.overOrder[1:]
 	}
-	t.over[key] = now
-	maps.DeleteFunc(t.over, func(_ runKey, at time.Time) bool { return now.Sub(at) > overTime })
 }
 
 // newLife ends the runs of a target's former life. A start that may still be
@@ -247,6 +260,7 @@
 func (p *Pool) newLife(now time.Time, t *target, born int64) {
 	t.life, t.endSeq, t.acked, t.acks = born, 0, 0, nil
 	clear(t.over)
+	t.overOrder = nil
 	p.replan = true
 	for _, r := range t.list() {
 		switch {
--- a/internal/jobs/tick.go
+++ b/internal/jobs/tick.go
@@ -216,23 +216,12 @@
 	}
 	for _, t := range p.sorted() {
 		if t.registered && !t.Draining && t.cordon == NoCordon && !t.unheard && t.life != 0 {
-			l.Capacity += float64(t.Room.CPU-t.lastingCPU()) / 1000
+			l.Capacity += float64(t.Room.CPU-t.lasting) / 1000
 		}
 	}
 	return l
 }
 
-// lastingCPU is the processor that tasks hold until their job is canceled.
-func (t *target) lastingCPU() work.Millicores {
-	sum := work.Millicores(0)
-	for _, r := range t.list() {
-		if r.spec != nil && r.spec.Lasting {
-			sum += held(r.spec).CPU
-		}
-	}
-	return sum
-}
-
 func (p *Pool) demand(q work.Queue, spec *work.Spec) admit.Demand {
 	ratio := p.ratio(q.ID)
 	return admit.Demand{
--- a/internal/netopt/other.go
+++ b/internal/netopt/other.go
@@ -3,6 +3,7 @@
 package netopt
 
 import (
+	"net"
 	"syscall"
 	"time"
 )
@@ -11,3 +12,6 @@
 func UserTimeout(time.Duration) func(network, address string, raw syscall.RawConn) error {
 	return func(_, _ string, _ syscall.RawConn) error { return nil }
 }
+
+// Open can't look at a connection here; one that its peer has closed shows at its next use.
+func Open(net.Conn) bool { return true }
