Check the permission of orders to targets right before they leave, and the life that a start is meant for

A start whose run was stopped and settled meanwhile would begin in the target's next life, which knows nothing of the stop. Ruled out: targets refuse a lower fence, but a restarted target has seen none. Change: permits travel with starts and lists to the adapter; StartOrder names the life it is meant for.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -10,6 +10,7 @@
 
 	"github.com/toucanhatch/toucanhatch/internal/clock"
 	"github.com/toucanhatch/toucanhatch/internal/jobs"
+	"github.com/toucanhatch/toucanhatch/internal/permit"
 	"github.com/toucanhatch/toucanhatch/internal/work"
 )
 
@@ -53,8 +54,8 @@
 	Paced(o jobs.PaceOrder, acked bool)
 	// Fenced notes that the target has seen a later owner.
 	Fenced()
-	// Confirmed reports whether the ownership was confirmed recently enough to give orders.
-	Confirmed() bool
+	// Permit allows orders as long as the ownership counts as confirmed.
+	Permit() permit.Permit
 }
 
 // Agent serves one target. Set its exported fields before Run.
@@ -108,7 +109,7 @@
 	defer a.Caller.Close()
 	answered, busy := false, true
 	for ctx.Err() == nil {
-		if !a.Sink.Confirmed() {
+		if !a.Sink.Permit().Valid() {
 			a.checkLapse()
 			_ = clock.Sleep(ctx, a.Clock, probePause) // the loop checks the context
 			continue
@@ -157,7 +158,7 @@
 		timeout = call.Wait + holdMargin
 	}
 	a.mu.Unlock()
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+	ctx, cancel := context.WithTimeout(permit.With(ctx, a.Sink.Permit()), timeout)
 	defer cancel()
 	answer, err := a.Caller.Hold(ctx, call)
 	if errors.Is(err, ErrFenced) {
@@ -238,10 +239,11 @@
 }
 
 func (a *Agent) refresh() {
-	if a.ctx.Err() != nil || !a.Sink.Confirmed() {
+	allowed := a.Sink.Permit()
+	if a.ctx.Err() != nil || !allowed.Valid() {
 		return
 	}
-	ctx, cancel := context.WithTimeout(a.ctx, probeTimeout)
+	ctx, cancel := context.WithTimeout(permit.With(a.ctx, allowed), probeTimeout)
 	defer cancel()
 	sent := a.Clock.Now()
 	a.mu.Lock()
@@ -270,16 +272,21 @@
 }
 
 func (a *Agent) send(ctx context.Context, o jobs.Order) {
-	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	allowed := a.Sink.Permit()
+	ctx, cancel := context.WithTimeout(permit.With(ctx, allowed), orderTimeout)
 	defer cancel()
-	confirmed := a.Sink.Confirmed()
 	switch o := o.(type) {
 	case jobs.StartOrder:
-		if !confirmed {
+		if !allowed.Valid() {
 			a.Sink.Started(o, jobs.StartLate) // not sent
 			return
 		}
 		a.mu.Lock()
+		if a.born != o.Born { // the target has restarted while the order waited here
+			a.mu.Unlock()
+			a.Sink.Started(o, jobs.StartOtherTarget) // not sent
+			return
+		}
 		deadline := a.lease.extend(a.Clock.Now(), a.Lease)
 		a.lapsed = false
 		a.mu.Unlock()
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/toucanhatch/toucanhatch/internal/clock"
 	"github.com/toucanhatch/toucanhatch/internal/jobs"
+	"github.com/toucanhatch/toucanhatch/internal/permit"
 	"github.com/toucanhatch/toucanhatch/internal/work"
 )
 
@@ -49,7 +50,7 @@
 func (*sink) Stopped(jobs.StopOrder, bool)              {}
 func (*sink) Paced(jobs.PaceOrder, bool)                {}
 func (*sink) Fenced()                                   {}
-func (*sink) Confirmed() bool                           { return true }
+func (*sink) Permit() permit.Permit                     { return permit.Permit{} }
 
 // Guards against an overloaded owner that starts tasks again whose ends its targets have listed, since it reads the
 // lists too late (TWICE, umurimo-hatch-grown scale-1: an owner on a weak VM), and against leases that never lapse.
@@ -75,3 +76,49 @@
 		})
 	}
 }
+
+// startCounter answers lists of a life and counts starts.
+type startCounter struct {
+	silentTarget
+	starts atomic.Int32
+}
+
+func (s *startCounter) Hold(context.Context, HoldCall) (HoldAnswer, error) {
+	time.Sleep(10 * time.Millisecond)
+	return HoldAnswer{Clock: 1, List: work.List{Target: "t", Born: 2}}, nil
+}
+
+func (s *startCounter) Start(context.Context, StartCall) (jobs.StartResult, TargetTime) {
+	s.starts.Add(1)
+	return jobs.StartOK, 0
+}
+
+// startSink keeps the results of starts.
+type startSink struct {
+	sink
+	results chan jobs.StartResult
+}
+
+func (s *startSink) Started(_ jobs.StartOrder, r jobs.StartResult) { s.results <- r }
+
+// Guards against starts that waited behind others while their target restarted: its new life doesn't know that their
+// runs were given up, and would run the tasks beside their next runs.
+func TestStartIsForOneLife(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	caller, s := &startCounter{}, &startSink{results: make(chan jobs.StartResult, 1)}
+	a := New(ctx, "t")
+	a.Caller, a.Sink, a.Clock, a.Logger, a.Lease = caller, s, clock.System(), hclog.NewNullLogger(), time.Second
+	go a.Run()
+	time.Sleep(100 * time.Millisecond) // a list of life 2 has been read
+	for _, test := range []struct {
+		born int64
+		want jobs.StartResult
+		sent int32
+	}{{1, jobs.StartOtherTarget, 0}, {2, jobs.StartOK, 1}} {
+		a.Send(ctx, jobs.StartOrder{Target: "t", Attempt: 1, Born: test.born})
+		if got := <-s.results; got != test.want || caller.starts.Load() != test.sent {
+			t.Errorf("start for life %d: %q, %d sent, want %q and %d", test.born, got, caller.starts.Load(), test.want, test.sent)
+		}
+	}
+}
--- a/internal/agent/caller.go
+++ b/internal/agent/caller.go
@@ -50,7 +50,7 @@
 type Caller interface {
 	// Hold extends the lease and reads the list.
 	Hold(ctx context.Context, c HoldCall) (HoldAnswer, error)
-	// Start starts a task; the clock is 0 if the answer has none.
+	// Start starts a task; the clock is 0 if the answer has none. The result is StartLate if ctx doesn't permit it any more.
 	Start(ctx context.Context, c StartCall) (jobs.StartResult, TargetTime)
 	// Stop stops a run and reports whether the target has taken the order.
 	Stop(ctx context.Context, o jobs.StopOrder, f work.Fence) error
--- a/internal/jobs/order.go
+++ b/internal/jobs/order.go
@@ -13,6 +13,7 @@
 	Payload    string
 	Checkpoint string
 	Ticket     string
+	Born       int64 // the life of the target that it is meant for
 }
 
 // StopOrder stops a run. Its answer goes to [Pool.Stopped].
--- a/internal/jobs/run.go
+++ b/internal/jobs/run.go
@@ -169,7 +169,7 @@
 	r.state, r.since = runOrdered, now
 	p.orders = append(p.orders, StartOrder{
 		Target: r.target.ID, Task: r.key.task, Attempt: r.key.attempt, Payload: r.job.spec.Payload,
-		Checkpoint: r.checkpoint, Ticket: r.ticket,
+		Checkpoint: r.checkpoint, Ticket: r.ticket, Born: r.born,
 	})
 }
 
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -10,6 +10,7 @@
 	"github.com/toucanhatch/toucanhatch/internal/agent"
 	"github.com/toucanhatch/toucanhatch/internal/clock"
 	"github.com/toucanhatch/toucanhatch/internal/jobs"
+	"github.com/toucanhatch/toucanhatch/internal/permit"
 	"github.com/toucanhatch/toucanhatch/internal/plog"
 	"github.com/toucanhatch/toucanhatch/internal/work"
 	"github.com/toucanhatch/toucanhatch/pkg/ident"
@@ -171,7 +172,7 @@
 func (s *Shard) Ending() <-chan struct{} { return s.ctx.Done() }
 
 // MayOrder reports whether the ownership was confirmed recently enough to give orders.
-func (s *Shard) MayOrder() bool { return s.confirmed() }
+func (s *Shard) MayOrder() bool { return s.permit().Valid() }
 
 func (s *Shard) position() plog.TopicPartition {
 	return plog.TopicPartition{Topic: JobsTopic, Partition: s.Partition}
@@ -279,8 +280,10 @@
 	return p
 }
 
-// confirmed reports whether orders may be given.
-func (s *Shard) confirmed() bool { return s.confirmedWithin(confirmTime) }
+// permit allows orders for confirmTime from the last confirmation.
+func (s *Shard) permit() permit.Permit {
+	return permit.Permit{Until: s.Confirmed().Add(confirmTime), Clock: s.Clock}
+}
 
 func (s *Shard) confirmedWithin(d time.Duration) bool { return s.Clock.Now().Sub(s.Confirmed()) < d }
 
--- a/internal/shard/sink.go
+++ b/internal/shard/sink.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/toucanhatch/toucanhatch/internal/jobs"
+	"github.com/toucanhatch/toucanhatch/internal/permit"
 	"github.com/toucanhatch/toucanhatch/internal/work"
 )
 
@@ -61,4 +62,4 @@
 	}
 }
 
-func (k *sink) Confirmed() bool { return k.shard.confirmed() }
+func (k *sink) Permit() permit.Permit { return k.shard.permit() }
