Contain panics, and tie acknowledgments to one life of a target

Change: package guard; a request of another process, a record that is followed, an order, an agent or a background part that panics is logged with its stack, counted, and starts again; an owner of a partition ends and its successor reads the log. Also a start that is stopped before its answer is remembered as perhaps on its way.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -9,6 +9,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/toucanhatch/toucanhatch/internal/clock"
+	"github.com/toucanhatch/toucanhatch/internal/guard"
 	"github.com/toucanhatch/toucanhatch/internal/jobs"
 	"github.com/toucanhatch/toucanhatch/internal/permit"
 	"github.com/toucanhatch/toucanhatch/internal/work"
@@ -89,9 +90,13 @@
 	return &Agent{ctx: ctx, ID: id, ackWake: make(chan struct{}, 1), slots: make(chan struct{}, ordersAtOnce)}
 }
 
-// SetAcked allows the target to forget its ends up to seq.
-func (a *Agent) SetAcked(seq int64) {
+// SetAcked allows the target to forget its ends up to seq of its life born. Ends are numbered anew in each life.
+func (a *Agent) SetAcked(born, seq int64) {
 	a.mu.Lock()
+	if born != a.born {
+		a.mu.Unlock()
+		return
+	}
 	changed := seq != a.acked
 	a.acked = seq
 	a.mu.Unlock()
@@ -105,8 +110,12 @@
 
 // Run keeps the target's lease and list.
 func (a *Agent) Run() {
-	ctx := a.ctx
 	defer a.Caller.Close()
+	guard.Keep(a.ctx, a.Clock, a.Logger, "agent of a target", a.run)
+}
+
+func (a *Agent) run() {
+	ctx := a.ctx
 	answered, busy := false, true
 	for ctx.Err() == nil {
 		if !a.Sink.Permit().Valid() {
@@ -235,7 +244,7 @@
 		return // one is about to be read
 	}
 	a.refreshDue = due
-	a.Clock.AfterFunc(d, a.refresh)
+	a.Clock.AfterFunc(d, func() { guard.Do(a.Logger, "list of a target", a.refresh) })
 }
 
 func (a *Agent) refresh() {
@@ -267,7 +276,12 @@
 			return
 		}
 		defer func() { <-a.slots }()
-		a.send(ctx, o)
+		if guard.Do(a.Logger, "order to a target", func() { a.send(ctx, o) }) {
+			return
+		}
+		if start, ok := o.(jobs.StartOrder); ok {
+			a.Sink.Started(start, jobs.StartNoAnswer)
+		}
 	}()
 }
 
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -122,3 +122,50 @@
 		}
 	}
 }
+
+// lifeCaller answers lists of a life that can change, and keeps the acknowledgments that it gets in the present one.
+type lifeCaller struct {
+	silentTarget
+	born  atomic.Int64
+	acked atomic.Int64
+}
+
+func (c *lifeCaller) Hold(_ context.Context, h HoldCall) (HoldAnswer, error) {
+	c.acked.Store(h.Acked)
+	time.Sleep(5 * time.Millisecond)
+	return HoldAnswer{Clock: 1, List: work.List{Target: "t", Born: c.born.Load()}}, nil
+}
+
+// Guards against ends of a target's new life that are acknowledged by a number of the former one: the target forgets them
+// before they were read, and their tasks run again.
+func TestAcknowledgmentIsForOneLife(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	c := &lifeCaller{}
+	c.born.Store(1)
+	a := New(ctx, "t")
+	a.Caller, a.Sink, a.Clock, a.Logger, a.Lease = c, &sink{}, clock.System(), hclog.NewNullLogger(), time.Second
+	go a.Run()
+	await := func(want int64) {
+		t.Helper()
+		for range 200 {
+			if c.acked.Load() == want {
+				return
+			}
+			time.Sleep(5 * time.Millisecond)
+		}
+		t.Fatalf("acknowledged up to %d, want %d", c.acked.Load(), want)
+	}
+	time.Sleep(50 * time.Millisecond)
+	a.SetAcked(1, 57)
+	await(57)
+	c.born.Store(2)
+	await(0)
+	a.SetAcked(1, 58) // the owner has not taken the new life's list in yet
+	time.Sleep(50 * time.Millisecond)
+	if got := c.acked.Load(); got != 0 {
+		t.Errorf("the new life is acknowledged up to %d by an end of the former one, want 0", got)
+	}
+	a.SetAcked(2, 3)
+	await(3)
+}
--- /dev/null
+++ b/internal/guard/guard.go
@@ -0,0 +1,42 @@
+// Package guard keeps a panic in one part of a process from ending the others.
+//
+// A part that has panicked may hold broken state. Whoever starts a part with
+// [Do] or [Keep] makes it begin anew from what is stored.
+package guard
+
+import (
+	"context"
+	"expvar"
+	"fmt"
+	"runtime/debug"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/toucanhatch/toucanhatch/internal/clock"
+)
+
+// panics counts contained panics by part.
+var panics = expvar.NewMap("panics")
+
+// restartPause keeps a part that panics again at once from using up the processor.
+const restartPause = 500 * time.Millisecond
+
+// Do runs a part and reports whether it ended without a panic, which it logs.
+func Do(l hclog.Logger, part string, f func()) (ok bool) {
+	defer func() {
+		if p := recover(); p != nil {
+			panics.Add(part, 1)
+			l.Error("panic contained", "part", part, "panic", fmt.Sprint(p), "stack", string(debug.Stack()))
+		}
+	}()
+	f()
+	return true
+}
+
+// Keep runs a part until it ends without a panic, or ctx is done.
+func Keep(ctx context.Context, c clock.Clock, l hclog.Logger, part string, f func()) {
+	for !Do(l, part, f) && ctx.Err() == nil {
+		_ = clock.Sleep(ctx, c, restartPause) // the loop checks the context
+	}
+}
--- a/internal/jobd/daemon.go
+++ b/internal/jobd/daemon.go
@@ -19,6 +19,7 @@
 	"github.com/toucanhatch/toucanhatch/internal/clock"
 	"github.com/toucanhatch/toucanhatch/internal/direct"
 	"github.com/toucanhatch/toucanhatch/internal/group"
+	"github.com/toucanhatch/toucanhatch/internal/guard"
 	"github.com/toucanhatch/toucanhatch/internal/link"
 	"github.com/toucanhatch/toucanhatch/internal/plog"
 	"github.com/toucanhatch/toucanhatch/internal/route"
@@ -111,7 +112,7 @@
 	var wg sync.WaitGroup
 	clients := d.httpServer(d.Platform.Clients(d.service))
 	checks := d.httpServer(http.HandlerFunc(d.readiness))
-	links := &link.Server{Listener: peer, Handler: d.service.Handle}
+	links := &link.Server{Listener: peer, Handler: d.service.Handle, Logger: d.Logger}
 	failed := make(chan error, 3)
 	wg.Go(func() { failed <- links.Run(running) })
 	wg.Go(func() { failed <- serve(clients, client) })
@@ -135,16 +136,17 @@
 
 // background starts what follows the platform and the settings.
 func (d *Daemon) background(ctx context.Context, wg *sync.WaitGroup) {
+	d.targetWatch = d.watchTargets()
+	parts := map[string]func(context.Context){
+		"settings": d.watchSettings, "configuration": d.watchConfig().Run, "registrations": d.targetWatch.Run,
+		"owners": d.owners.Run, "reach": d.service.watchReach, "wall clock": d.service.watchWall,
+	}
 	if d.Settings.Metrics != "" {
-		wg.Go(func() { d.serveMetrics(ctx) })
+		parts["metrics"] = d.serveMetrics
+	}
+	for part, run := range parts {
+		wg.Go(func() { guard.Keep(ctx, d.Clock, d.Logger, part, func() { run(ctx) }) })
 	}
-	wg.Go(func() { d.watchSettings(ctx) })
-	wg.Go(func() { d.watchConfig().Run(ctx) })
-	d.targetWatch = d.watchTargets()
-	wg.Go(func() { d.targetWatch.Run(ctx) })
-	wg.Go(func() { d.owners.Run(ctx) })
-	wg.Go(func() { d.service.watchReach(ctx) })
-	wg.Go(func() { d.service.watchWall(ctx) })
 }
 
 // join enters the group; the function that it returns leaves it and waits until the partitions are given up.
@@ -152,9 +154,9 @@
 	membership, cancel := context.WithCancel(ctx)
 	var left sync.WaitGroup
 	left.Go(func() {
-		d.standby.await(membership)
-		left.Go(func() { d.standby.Run(membership) })
-		d.member.Run(membership)
+		guard.Do(d.Logger, "start of standby", func() { d.standby.await(membership) })
+		left.Go(func() { guard.Keep(membership, d.Clock, d.Logger, "standby", func() { d.standby.Run(membership) }) })
+		guard.Keep(membership, d.Clock, d.Logger, "membership", func() { d.member.Run(membership) })
 	})
 	return func() {
 		cancel()
--- a/internal/jobd/owning.go
+++ b/internal/jobd/owning.go
@@ -6,6 +6,7 @@
 
 	"github.com/toucanhatch/toucanhatch/internal/agent"
 	"github.com/toucanhatch/toucanhatch/internal/group"
+	"github.com/toucanhatch/toucanhatch/internal/guard"
 	"github.com/toucanhatch/toucanhatch/internal/jobs"
 	"github.com/toucanhatch/toucanhatch/internal/plog"
 	"github.com/toucanhatch/toucanhatch/internal/shard"
@@ -50,7 +51,9 @@
 		Status: d.Platform.Status, EncodeStatus: d.Platform.EncodeWaveStatus, Lease: d.Settings.Bounds.MachineLease.Duration,
 		UpkeepTime: d.Settings.Bounds.Upkeep.Duration, Confirmed: owner.MayOrder, WallOffset: d.service.wall.Offset, Clock: d.Clock, Logger: d.Logger,
 	}
-	st.Run(ctx)
+	if !guard.Do(d.Logger, "steering", func() { st.Run(ctx) }) {
+		owner.Abandon() // its writes to the log can't go on in their sequence
+	}
 }
 
 func (d *Daemon) queues() []work.Queue {
--- a/internal/jobs/pool_test.go
+++ b/internal/jobs/pool_test.go
@@ -126,7 +126,7 @@
 	b.submit(smallStep)
 	start := b.settle()[0]
 	b.end(start.Target, start.Task, start.Attempt, work.EndDone)
-	if got := b.p.Acked(start.Target); got != 0 {
+	if _, got := b.p.Acked(start.Target); got != 0 {
 		t.Errorf("acknowledged %d before the end is durable, want 0", got)
 	}
 	if state, _ := b.p.State("0000000000000001", b.p.durable); state != work.Active {
@@ -134,7 +134,7 @@
 	}
 	_, flush := b.p.Flush()
 	b.p.Durable(b.now, flush)
-	if got := b.p.Acked(start.Target); got != 1 {
+	if _, got := b.p.Acked(start.Target); got != 1 {
 		t.Errorf("acknowledged %d after the end is durable, want 1", got)
 	}
 	if state, _ := b.p.State("0000000000000001", flush); state != work.Completed {
--- a/internal/jobs/run.go
+++ b/internal/jobs/run.go
@@ -181,6 +181,8 @@
 		return
 	case runStopping:
 		return
+	case runOrdered:
+		r.unsure = true // its start may still be on its way
 	}
 	r.state, r.stopAcked = runStopping, false
 	p.sendStop(now, r)
--- a/internal/jobs/target.go
+++ b/internal/jobs/target.go
@@ -153,12 +153,12 @@
 	}
 }
 
-// Acked returns up to which end the target's list may be acknowledged.
-func (p *Pool) Acked(id work.TargetID) int64 {
+// Acked returns up to which end of its life born a target's list may be acknowledged.
+func (p *Pool) Acked(id work.TargetID) (born, seq int64) {
 	if t := p.targets[id]; t != nil {
-		return t.acked
+		return t.life, t.acked
 	}
-	return 0
+	return 0, 0
 }
 
 // Unheard notes that the target did not answer; it gets no new tasks until it does.
--- a/internal/jobs/world_test.go
+++ b/internal/jobs/world_test.go
@@ -319,8 +319,8 @@
 	if extend {
 		t.lease = w.now.Add(worldLease)
 	}
-	acked := o.pool.Acked(t.id)
-	if o.born[t.id] == t.born {
+	life, acked := o.pool.Acked(t.id)
+	if life == o.born[t.id] && life == t.born {
 		for len(t.ended) > 0 && t.ended[0].Seq <= acked {
 			if t.ended[0].Kind == work.EndDone {
 				w.done[t.ended[0].Task] = true
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -13,7 +13,9 @@
 	"github.com/cockroachdb/errors"
 	"github.com/coder/websocket"
 	"github.com/fxamacker/cbor/v2"
+	"github.com/hashicorp/go-hclog"
 
+	"github.com/toucanhatch/toucanhatch/internal/guard"
 	"github.com/toucanhatch/toucanhatch/internal/netopt"
 )
 
@@ -26,6 +28,8 @@
 	ErrUnreachable = errors.New("the other process can't be reached")
 	// ErrBroken means that the connection broke after the request was sent; it may have been carried out.
 	ErrBroken = errors.New("the connection broke before the answer")
+
+	errPanic = errors.New("the handler has failed")
 )
 
 const (
@@ -91,6 +95,7 @@
 type Server struct {
 	Listener net.Listener
 	Handler  Handler
+	Logger   hclog.Logger
 }
 
 // Listen opens a listener whose connections end when the other side doesn't acknowledge.
@@ -143,7 +148,9 @@
 			continue
 		}
 		go func() {
-			body, err := s.Handler(ctx, f.Method, f.Body)
+			var body []byte
+			err := errPanic
+			guard.Do(s.Logger, "request "+string(f.Method), func() { body, err = s.Handler(ctx, f.Method, f.Body) })
 			answer := frame{ID: f.ID, Body: body}
 			if err != nil {
 				answer.Body, answer.Fault = nil, err.Error()
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -9,6 +9,7 @@
 
 	"github.com/toucanhatch/toucanhatch/internal/agent"
 	"github.com/toucanhatch/toucanhatch/internal/clock"
+	"github.com/toucanhatch/toucanhatch/internal/guard"
 	"github.com/toucanhatch/toucanhatch/internal/jobs"
 	"github.com/toucanhatch/toucanhatch/internal/permit"
 	"github.com/toucanhatch/toucanhatch/internal/plog"
@@ -171,6 +172,9 @@
 // Ending is closed as soon as the shard begins to end.
 func (s *Shard) Ending() <-chan struct{} { return s.ctx.Done() }
 
+// Abandon ends the shard without a last write.
+func (s *Shard) Abandon() { s.stop() }
+
 // MayOrder reports whether the ownership was confirmed recently enough to give orders.
 func (s *Shard) MayOrder() bool { return s.permit().Valid() }
 
@@ -178,10 +182,15 @@
 	return plog.TopicPartition{Topic: JobsTopic, Partition: s.Partition}
 }
 
-// Run takes the partition over and serves it until Stop, or until it is fenced.
+// Run takes the partition over and serves it until Stop, or until it is fenced. A panic ends it too: the next owner, as a
+// rule in the same process, begins with what is stored.
 func (s *Shard) Run() {
 	defer close(s.done)
 	defer s.stop()
+	guard.Do(s.Logger, "owner of a partition", s.run)
+}
+
+func (s *Shard) run() {
 	s.begun = s.Clock.Now()
 	records, err := s.takeOver()
 	if err != nil {
@@ -367,11 +376,15 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(s.ctx, adviceTimeout)
 		defer cancel()
-		granted, validity, err := s.Adviser.Advise(ctx, o)
-		if err != nil {
-			s.Logger.Info("no advice", "job", o.Job, "step", o.Step, "error", err)
-			granted = nil
-		}
+		var granted map[work.TargetID]string
+		var validity time.Duration
+		guard.Do(s.Logger, "advice", func() {
+			var err error
+			if granted, validity, err = s.Adviser.Advise(ctx, o); err != nil {
+				s.Logger.Info("no advice", "job", o.Job, "step", o.Step, "error", err)
+				granted = nil
+			}
+		})
 		s.post(func(now time.Time) { p.Advised(now, o, granted, validity) })
 	}()
 }
--- a/internal/shard/shard_test.go
+++ b/internal/shard/shard_test.go
@@ -201,3 +201,36 @@
 		t.Fatalf("%d appends, none of them was refused", got)
 	}
 }
+
+// Guards against a panic of the owner of one partition that takes the process down, and against clients that wait for its
+// answer: the next owner goes on with what is stored.
+func TestPanicEndsOneOwner(t *testing.T) {
+	log := &fakes.Log{}
+	s := start(t, log, 1)
+	if err := s.Submit(t.Context(), testQueue, "0000000000000001", testSpec); err != nil {
+		t.Fatal(err)
+	}
+	var mute atomic.Bool
+	mute.Store(true)
+	log.Before = func(call string, _ plog.TopicPartition) (bool, error) {
+		if call == "append" && mute.Load() {
+			return false, plog.ErrNoAnswer
+		}
+		return true, nil
+	}
+	broken := make(chan error, 1)
+	go func() {
+		_, _, err := s.State(t.Context(), "p", "0000000000000002") // waits for a proof, or comes too late
+		broken <- err
+	}()
+	s.post(func(time.Time) { panic("a malformed job") })
+	<-s.Done()
+	if err := <-broken; err == nil {
+		t.Error("a request to an owner that has panicked succeeds")
+	}
+	mute.Store(false)
+	next := start(t, log, 2)
+	if _, known, err := next.State(t.Context(), "p", "0000000000000001"); err != nil || !known {
+		t.Errorf("the next owner: known %v, error %v, want the stored job", known, err)
+	}
+}
--- a/internal/shard/sink.go
+++ b/internal/shard/sink.go
@@ -18,7 +18,11 @@
 	reply := make(chan int64, 1)
 	if !k.shard.post(func(now time.Time) {
 		k.pool.Listed(now, l)
-		reply <- k.pool.Acked(l.Target)
+		born, seq := k.pool.Acked(l.Target)
+		if born != l.Born {
+			seq = 0
+		}
+		reply <- seq
 	}) {
 		return 0, false
 	}
--- a/internal/shard/write.go
+++ b/internal/shard/write.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/toucanhatch/toucanhatch/internal/clock"
+	"github.com/toucanhatch/toucanhatch/internal/guard"
 	"github.com/toucanhatch/toucanhatch/internal/jobs"
 	"github.com/toucanhatch/toucanhatch/internal/plog"
 )
@@ -74,7 +75,11 @@
 	records = s.noteKnowledge(now, records)
 	w.probes, s.probes = s.probes, nil
 	s.write = w
-	go s.append(w, records)
+	go func() {
+		if !guard.Do(s.Logger, "write", func() { s.append(w, records) }) {
+			s.stop() // it isn't known what is stored
+		}
+	}()
 }
 
 // noteKnowledge adds what the pools have learned to a write, once in a while.
--- a/internal/steer/steer.go
+++ b/internal/steer/steer.go
@@ -9,6 +9,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/toucanhatch/toucanhatch/internal/clock"
+	"github.com/toucanhatch/toucanhatch/internal/guard"
 	"github.com/toucanhatch/toucanhatch/internal/jobs"
 	"github.com/toucanhatch/toucanhatch/internal/permit"
 	"github.com/toucanhatch/toucanhatch/internal/plog"
@@ -142,7 +143,9 @@
 	}
 	var wg sync.WaitGroup
 	for _, r := range orders {
-		wg.Go(func() { s.carryOut(permit.With(ctx, allowed), r) })
+		wg.Go(func() {
+			guard.Do(s.Logger, "order for a VM", func() { s.carryOut(permit.With(ctx, allowed), r) })
+		})
 	}
 	wg.Wait()
 	return nil
--- a/internal/steer/store.go
+++ b/internal/steer/store.go
@@ -32,7 +32,7 @@
 
 // encodeMode keeps the fractions of seconds, which the library's default drops.
 var encodeMode = func() cbor.EncMode {
-	m, err := cbor.EncOptions{Time: cbor.TimeUnixDynamic}.EncMode()
+	m, err := cbor.EncOptions{Time: cbor.TimeRFC3339Nano}.EncMode()
 	if err != nil {
 		panic(err) // the options are constant
 	}
