--- a/internal/direct/direct.go
+++ b/internal/direct/direct.go
@@ -90,10 +90,6 @@
 		return false
 	}
 	delete(d.broken, r.Key)
-	old := d.entries[id]
-	if old == nil || old.reg.Draining != reg.Draining || old.reg.Born != reg.Born || old.reg.Pool != reg.Pool {
-		d.Logger.Info("target registered", "target", id, "pool", reg.Pool, "draining", reg.Draining, "born", reg.Born, "address", reg.Addr, "machine", reg.Machine)
-	}
 	d.entries[id] = &entry{reg: reg}
 	if reg.Machine != "" && reg.Born >= d.lives[reg.Machine].born {
 		d.lives[reg.Machine] = life{id, reg.Born}
@@ -104,7 +100,6 @@
 func (d *Directory) remove(e *entry) {
 	if e.removed.IsZero() {
 		e.removed = d.Clock.Now()
-		d.Logger.Info("target entry removed", "target", e.reg.ID, "pool", e.reg.Pool)
 	}
 }
 
--- a/internal/jobd/daemon.go
+++ b/internal/jobd/daemon.go
@@ -67,8 +67,8 @@
 	clientIdle    = 30 * time.Second
 	headerTimeout = 3 * time.Second
 	maxHeader     = 16 << 10
-	// heapPercent lets the heap grow by this share between collections; memory is dear on the entry VMs.
-	heapPercent = 60
+	// heapPercent lets the heap grow threefold between collections, which otherwise take a fifth of the processor of a large pool's owner.
+	heapPercent = 200
 )
 
 // Daemon is one jobs daemon. Set its exported fields before Run.
@@ -293,10 +293,12 @@
 }
 
 func (d *Daemon) watchTargets() *watch.Watch {
-	return &watch.Watch{
+	w := &watch.Watch{
 		Log: d.Platform.Log, From: d.Platform.Targets, Wait: targetsWait, Pause: targetsPause, Wanted: d.member.Owns,
 		Replace: d.direct.Replace, Apply: d.direct.Apply, Clock: d.Clock, Logger: d.Logger,
 	}
+	w.Init()
+	return w
 }
 
 func (d *Daemon) serveMetrics(ctx context.Context) {
--- a/internal/jobd/owning.go
+++ b/internal/jobd/owning.go
@@ -25,6 +25,7 @@
 		TakeoverTime: func(took time.Duration) { takeoverLatencies.Record(allLatencies, took) },
 	}
 	s.Init(d.ctx)
+	d.targetWatch.Begin()
 	go s.Run()
 	if p.Partition == steeringPartition && d.Platform.Cloud != nil {
 		go d.steer(s, epoch)
--- a/internal/jobs/job.go
+++ b/internal/jobs/job.go
@@ -20,6 +20,7 @@
 	storedBy    Flush // the write that first stores the job
 	changed     Flush // the write that stores its last change
 	began       bool
+	stripped    bool          // its tasks and specification are forgotten
 	zone        ident.ZoneID  // where its tasks are placed if there is room
 	chain       time.Duration // longest chain of steps, by the client's estimates
 	work        time.Duration // processor time of one occurrence, by the client's estimates
@@ -64,6 +65,20 @@
 
 func (j *job) over() bool { return j.canceled || j.failed || j.left == 0 }
 
+// strip drops the tasks of a job that is over, unless one of them may still run.
+func (j *job) strip() {
+	for _, o := range j.occurrences {
+		for s := range o.steps {
+			for i := range o.steps[s].tasks {
+				if o.steps[s].tasks[i].run != nil {
+					return
+				}
+			}
+		}
+	}
+	j.occurrences, j.spec, j.stripped = nil, &work.Spec{}, true
+}
+
 // wake creates the occurrences that are due and reports whether there is a new one.
 func (j *job) wake(wall time.Time) bool {
 	created := false
--- a/internal/jobs/pool.go
+++ b/internal/jobs/pool.go
@@ -257,10 +257,14 @@
 	return o
 }
 
-// Expire forgets finished jobs that need not be shown any more and returns their ids.
+// Expire forgets finished jobs that need not be shown any more and returns their ids. Of those that are still shown it
+// keeps no tasks: most of an owner's memory would be jobs that are over.
 func (p *Pool) Expire(now time.Time) []work.JobID {
 	var gone []work.JobID
 	for id, j := range p.jobs {
+		if j.over() && j.changed <= p.durable && p.wall(now).Sub(j.finished) > lateTime {
+			j.strip()
+		}
 		if j.over() && p.wall(now).Sub(j.finished) > p.Bounds.Retention && p.dirty[id] == nil {
 			gone = append(gone, id)
 			delete(p.jobs, id)
@@ -285,8 +289,11 @@
 	}
 }
 
-// touch marks a job's record as changed.
+// touch marks a job's record as changed. The stored record of a job without its tasks stands.
 func (p *Pool) touch(j *job) {
+	if j.stripped {
+		return
+	}
 	j.changed = p.next
 	p.dirty[j.id] = j
 }
--- /dev/null
+++ b/internal/jobs/strip_test.go
@@ -0,0 +1,56 @@
+package jobs
+
+import (
+	"testing"
+	"time"
+
+	"github.com/toucanhatch/toucanhatch/internal/work"
+)
+
+// Guards against the memory of an owner growing with the jobs that are over, and against such jobs being lost: they are
+// shown as before, a late start of one of their tasks is stopped, and a successor finds their records whole.
+func TestFinishedJobKeepsItsStateOnly(t *testing.T) {
+	b := newBed(t, 1)
+	b.submit(work.Step{Count: 2, Need: work.Resources{CPU: 1000}, Estimate: time.Second})
+	b.p.Plan(b.now)
+	records, flush := b.p.Flush()
+	b.p.Durable(b.now, flush)
+	var ends []work.EndRow
+	for _, o := range b.p.Orders() {
+		start := o.(StartOrder)
+		ends = append(ends, work.EndRow{Task: start.Task, Attempt: start.Attempt, Kind: work.EndDone})
+	}
+	b.list("t0", ends...)
+	records, flush = b.p.Flush()
+	if len(records) != 1 {
+		t.Fatalf("%d records of the completed job, want 1", len(records))
+	}
+	j := b.p.jobs[records[0].ID]
+	b.now = b.now.Add(lateTime + time.Second)
+	b.p.Expire(b.now)
+	if j.stripped {
+		t.Error("a job whose end isn't durable has lost its tasks")
+	}
+	b.p.Durable(b.now, flush)
+	b.p.Expire(b.now)
+	if !j.stripped || len(j.occurrences) > 0 {
+		t.Error("a job that is over keeps its tasks")
+	}
+	if got, known := b.p.State(j.id, flush); got != work.Completed || !known {
+		t.Errorf("state %q, known %v, want %q", got, known, work.Completed)
+	}
+	late := work.RunningRow{Task: ends[0].Task, Attempt: 7, Percent: 1}
+	b.runs["t0"] = []work.RunningRow{late}
+	b.list("t0")
+	if orders := b.p.Orders(); len(orders) != 1 || orders[0] != (StopOrder{Target: "t0", Task: late.Task, Attempt: 7}) {
+		t.Errorf("orders %v, want a stop of the late start", orders)
+	}
+	b.p.Unheard("t0")
+	b.p.Close(b.now)
+	if records, _ := b.p.Flush(); len(records) != 0 {
+		t.Errorf("the job is stored again without its tasks: %+v", records[0])
+	}
+	if flush, known := b.p.Cancel(b.now, j.id); !known || flush > b.p.durable {
+		t.Errorf("cancel of the completed job: known %v, durable by write %d, want an answer at once", known, flush)
+	}
+}
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -195,13 +195,13 @@
 	err    error         // of dialing
 	failed time.Time
 	ws     *websocket.Conn
-	done   chan struct{}
 
-	mu      sync.Mutex
-	nextID  uint64
-	waiting map[uint64]chan frame
-	heard   time.Time
-	broken  bool
+	mu       sync.Mutex
+	nextID   uint64
+	waiting  map[uint64]chan frame
+	heard    time.Time
+	broken   bool
+	checking bool // check will be called
 }
 
 func (c *Client) conn(addr string) *conn {
@@ -214,7 +214,7 @@
 	if x != nil && !x.replaceable() {
 		return x
 	}
-	x = &conn{ready: make(chan struct{}), done: make(chan struct{}), waiting: map[uint64]chan frame{}}
+	x = &conn{ready: make(chan struct{}), waiting: map[uint64]chan frame{}}
 	c.conns[addr] = x
 	go x.dial(addr)
 	return x
@@ -247,7 +247,6 @@
 		x.ws.SetReadLimit(maxFrame)
 		x.heard = time.Now()
 		go x.receive()
-		go x.watch()
 	}
 	close(x.ready)
 }
@@ -270,30 +269,21 @@
 	}
 }
 
-// watch pings while answers are outstanding and ends a silent connection.
-func (x *conn) watch() {
-	tick := time.NewTicker(pingPeriod)
-	defer tick.Stop()
-	for {
-		select {
-		case <-x.done:
-			return
-		case <-tick.C:
-		}
-		x.mu.Lock()
-		busy, heard := len(x.waiting) > 0, x.heard
-		if !busy {
-			x.heard = time.Now()
-		}
-		x.mu.Unlock()
-		if !busy {
-			continue
-		}
-		if time.Since(heard) > silence || write(context.Background(), x.ws, frame{}) != nil {
-			x.end()
-			return
-		}
+// check ends a connection that is silent while answers are outstanding, or else pings. It is called every pingPeriod, but
+// only as long as there is something to wait for: a process has links to many others, most of which are idle.
+func (x *conn) check() {
+	x.mu.Lock()
+	busy, heard := len(x.waiting) > 0 && !x.broken, x.heard
+	x.checking = busy
+	x.mu.Unlock()
+	if !busy {
+		return
 	}
+	if time.Since(heard) > silence || write(context.Background(), x.ws, frame{}) != nil {
+		x.end()
+		return
+	}
+	time.AfterFunc(pingPeriod, x.check)
 }
 
 // end closes the connection and fails what waits for an answer.
@@ -304,7 +294,6 @@
 		return
 	}
 	x.broken = true
-	close(x.done)
 	for id, ch := range x.waiting {
 		close(ch)
 		delete(x.waiting, id)
@@ -333,6 +322,10 @@
 	if len(x.waiting) == 0 {
 		x.heard = time.Now()
 	}
+	if !x.checking {
+		x.checking = true
+		time.AfterFunc(pingPeriod, x.check)
+	}
 	x.waiting[id] = ch
 	x.mu.Unlock()
 	//nolint:contextcheck // a write that is broken off would end the connection for the other requests
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"testing"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/hashicorp/go-hclog"
+
+	"github.com/toucanhatch/toucanhatch/internal/fakes"
 )
 
 // Guards against a request that takes the process down, or breaks the link for the others.
@@ -34,3 +37,38 @@
 		t.Errorf("a good request after a bad one: %q, %v", got, err)
 	}
 }
+
+// Guards against requests that wait for ever on a connection that has gone silent, also after it was idle for a while.
+func TestSilentConnectionFailsItsRequests(t *testing.T) {
+	l, err := Listen(t.Context(), "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &Server{Listener: l, Logger: hclog.NewNullLogger(), Handler: func(_ context.Context, _ Method, body []byte) ([]byte, error) { return body, nil }}
+	go func() { _ = s.Run(t.Context()) }()
+	front, err := Listen(t.Context(), "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	relay := &fakes.Relay{Upstream: l.Addr().String()}
+	go func() { _ = relay.Serve(front) }()
+	defer front.Close()
+	c, addr := &Client{}, front.Addr().String()
+	for range 2 { // the second time on a connection that has been idle
+		if _, err := Call[string](t.Context(), c, addr, "m", "a"); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(2 * pingPeriod)
+	}
+	relay.SetMode(fakes.RelaySilence)
+	begin := time.Now()
+	if _, err := Call[string](t.Context(), c, addr, "m", "b"); !errors.Is(err, ErrBroken) {
+		t.Errorf("a request on a silent connection: %v, want %v", err, ErrBroken)
+	}
+	if took, limit := time.Since(begin), silence+2*pingPeriod+time.Second; took > limit {
+		t.Errorf("the silence was noticed after %v, want %v at most", took, limit)
+	}
+	if got, err := Call[string](t.Context(), c, addr, "m", "c"); err != nil || got != "c" {
+		t.Errorf("a request on a new connection: %q, %v", got, err)
+	}
+}
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -126,6 +126,7 @@
 type agentHandle struct {
 	*agent.Agent
 	reg    work.Registration
+	listed bool // the live list names it
 	cancel context.CancelFunc
 }
 
--- a/internal/shard/targets.go
+++ b/internal/shard/targets.go
@@ -16,10 +16,15 @@
 	for _, reg := range s.Targets.Snapshot(p.ID) {
 		live[reg.ID] = true
 		p.Register(now, reg)
+		s.logRegistration(p, reg)
 		s.keepAgent(p, reg)
 	}
 	for id, h := range p.agents {
 		if !live[id] {
+			if h.listed {
+				h.listed = false
+				s.Logger.Info("target is not registered any more", "target", id, "pool", p.ID)
+			}
 			p.Unregister(id)
 			if !p.Holds(id) {
 				h.cancel()
@@ -55,9 +60,18 @@
 	return s.begun.Add(inheritTime)
 }
 
+// logRegistration reports a target that is new, or that says something new of itself.
+func (s *Shard) logRegistration(p *pool, reg work.Registration) {
+	if h := p.agents[reg.ID]; h != nil && h.listed && h.reg.Draining == reg.Draining && h.reg.Born == reg.Born {
+		return
+	}
+	s.Logger.Info("target registered", "target", reg.ID, "pool", reg.Pool, "draining", reg.Draining, "born", reg.Born, "address", reg.Addr, "machine", reg.Machine)
+}
+
 func (s *Shard) keepAgent(p *pool, reg work.Registration) {
 	h := p.agents[reg.ID]
 	if h != nil && h.reg.Addr == reg.Addr {
+		h.reg, h.listed = reg, true
 		return
 	}
 	if h != nil {
@@ -73,6 +87,6 @@
 	}
 	a.Logger = s.Logger
 	a.Sink = &sink{shard: s, pool: p}
-	p.agents[reg.ID] = &agentHandle{Agent: a, reg: reg, cancel: cancel}
+	p.agents[reg.ID] = &agentHandle{Agent: a, reg: reg, listed: true, cancel: cancel}
 	go a.Run()
 }
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -21,8 +21,10 @@
 	// callMargin is added to the wait of a read for the way there and back, and for a slow log.
 	callMargin = 1200 * time.Millisecond
 	retryPause = 200 * time.Millisecond
-	// wantedPause is how soon reading begins once it is wanted.
-	wantedPause = 30 * time.Millisecond
+	// wantedPause bounds how late it is noticed that reading is wanted, where nobody calls Begin.
+	wantedPause = time.Second
+	// freshPause is the time between two looks whether the partition has been read.
+	freshPause = 20 * time.Millisecond
 )
 
 // Watch follows one partition. Set its exported fields before Run.
@@ -44,6 +46,28 @@
 	offset ident.Offset
 	synced atomic.Bool
 	lost   bool
+	begin  chan struct{}
+}
+
+// Init prepares the watch; without it, [Watch.Begin] has no effect.
+func (w *Watch) Init() { w.begin = make(chan struct{}, 1) }
+
+// Begin tells that reading is wanted now.
+func (w *Watch) Begin() {
+	select {
+	case w.begin <- struct{}{}:
+	default:
+	}
+}
+
+// awaitBegin waits until reading may be wanted.
+func (w *Watch) awaitBegin(ctx context.Context) {
+	wait, cancel := context.WithTimeout(ctx, wantedPause)
+	defer cancel()
+	select {
+	case <-w.begin:
+	case <-wait.Done():
+	}
 }
 
 // Run follows the partition until ctx is done.
@@ -51,7 +75,7 @@
 	for ctx.Err() == nil {
 		if w.Wanted != nil && !w.Wanted() {
 			w.synced.Store(false)
-			_ = clock.Sleep(ctx, w.Clock, wantedPause) // the loop checks the context
+			w.awaitBegin(ctx)
 			continue
 		}
 		err := w.step(ctx)
@@ -76,7 +100,8 @@
 
 // Fresh waits until the partition has been read since reading was last wanted, or ctx is done.
 func (w *Watch) Fresh(ctx context.Context) {
-	for !w.synced.Load() && clock.Sleep(ctx, w.Clock, wantedPause) == nil {
+	w.Begin()
+	for !w.synced.Load() && clock.Sleep(ctx, w.Clock, freshPause) == nil {
 	}
 }
 
