rank: late jobs go by their last useful time, and are rescued at a price

Cause: late and postponed jobs stood behind every job that could still be in time, those with the most work last. Change: they go by the time for which they are still of use; those that can't be completed in it are given up, the largest first.

--- /dev/null
+++ b/internal/rank/plan.go
@@ -0,0 +1,215 @@
+package rank
+
+import (
+	"cmp"
+	"container/heap"
+	"slices"
+	"time"
+)
+
+// plan assigns each job the class that it can reach beside the others.
+type plan struct {
+	jobs  []Job
+	class []Class
+	cores float64
+	mixed bool // late jobs go among those on time, by the time that is left
+}
+
+func newPlan(jobs []Job, own []Class, cores float64) *plan {
+	return &plan{jobs: jobs, class: slices.Clone(own), cores: cores}
+}
+
+func count(classes []Class, c Class) int {
+	n := 0
+	for _, x := range classes {
+		if x == c {
+			n++
+		}
+	}
+	return n
+}
+
+func (p *plan) count(c Class) int { return count(p.class, c) }
+
+// exceeds reports whether work of the given CPU time can't be completed within left.
+func (p *plan) exceeds(work, left time.Duration) bool {
+	return float64(work) > usableShare*p.cores*float64(left)
+}
+
+// byTimeLeft returns the jobs of a class, those with the least time left first.
+func (p *plan) byTimeLeft(c Class) []int {
+	var out []int
+	for i := range p.jobs {
+		if p.class[i] == c {
+			out = append(out, i)
+		}
+	}
+	slices.SortStableFunc(out, func(a, b int) int { return cmp.Compare(p.jobs[a].timeLeft(c), p.jobs[b].timeLeft(c)) })
+	return out
+}
+
+// fitOnTime postpones jobs of ClassOnTime until the rest of them can be completed
+// in time. It goes through the jobs by deadline, and whenever their total CPU time
+// exceeds what the cores provide until the deadline, it postpones the largest job
+// so far that has not started.
+func (p *plan) fitOnTime() {
+	if p.cores <= 0 {
+		return
+	}
+	var candidates cpuTimeHeap
+	total := time.Duration(0)
+	for _, i := range p.byTimeLeft(ClassOnTime) {
+		total += p.jobs[i].CPUTime
+		if !p.jobs[i].Started {
+			heap.Push(&candidates, heapItem{i, p.jobs[i].CPUTime})
+		}
+		for len(candidates) > 0 && p.exceeds(total, p.jobs[i].timeLeft(ClassOnTime)) {
+			total -= p.downgradeLargest(&candidates, ClassLate)
+		}
+	}
+}
+
+// fitLate gives up late jobs in the same way until the rest of them can be completed, behind all jobs on time, while they
+// are of use.
+func (p *plan) fitLate() {
+	if p.cores <= 0 {
+		return
+	}
+	var candidates cpuTimeHeap
+	total := time.Duration(0)
+	for i := range p.jobs {
+		if p.class[i] == ClassOnTime {
+			total += p.jobs[i].CPUTime
+		}
+	}
+	for _, i := range p.byTimeLeft(ClassLate) {
+		total += p.jobs[i].CPUTime
+		heap.Push(&candidates, heapItem{i, p.jobs[i].CPUTime})
+		for len(candidates) > 0 && p.exceeds(total, p.jobs[i].timeLeft(ClassLate)) {
+			total -= p.downgradeLargest(&candidates, ClassExpired)
+		}
+	}
+}
+
+// fitTogether goes through the jobs of both classes by the time that is left. It postpones jobs on time also where a late
+// job could not be completed otherwise, and gives up a late job only where no job is left to postpone.
+func (p *plan) fitTogether() {
+	p.mixed = true
+	if p.cores <= 0 {
+		return
+	}
+	var pending timeLeftHeap
+	for _, c := range []Class{ClassOnTime, ClassLate} {
+		for _, i := range p.byTimeLeft(c) {
+			heap.Push(&pending, pendingItem{i, p.jobs[i].timeLeft(c)})
+		}
+	}
+	var onTime, late cpuTimeHeap
+	total := time.Duration(0)
+	for len(pending) > 0 {
+		next := heap.Pop(&pending).(pendingItem)
+		job := &p.jobs[next.index]
+		total += job.CPUTime
+		if p.class[next.index] == ClassLate {
+			heap.Push(&late, heapItem{next.index, job.CPUTime})
+		} else if !job.Started {
+			heap.Push(&onTime, heapItem{next.index, job.CPUTime})
+		}
+		for len(onTime)+len(late) > 0 && p.exceeds(total, next.timeLeft) {
+			if len(onTime) == 0 {
+				total -= p.downgradeLargest(&late, ClassExpired)
+				continue
+			}
+			postponed := onTime[0].index
+			total -= p.downgradeLargest(&onTime, ClassLate)
+			heap.Push(&pending, pendingItem{postponed, p.jobs[postponed].timeLeft(ClassLate)})
+		}
+	}
+}
+
+// downgradeLargest removes the job with the most CPU time from the heap, moves it to class c, and returns its CPU time.
+func (p *plan) downgradeLargest(h *cpuTimeHeap, c Class) time.Duration {
+	largest := heap.Pop(h).(heapItem)
+	p.class[largest.index] = c
+	return largest.cpuTime
+}
+
+// order returns the jobs in the order in which they get resources.
+func (p *plan) order() []Position {
+	out := make([]Position, len(p.jobs))
+	for i := range out {
+		out[i] = Position{Index: i, Class: p.class[i]}
+	}
+	slices.SortStableFunc(out, func(a, b Position) int {
+		return cmp.Or(cmp.Compare(p.group(a.Class), p.group(b.Class)), p.compare(a, b))
+	})
+	return out
+}
+
+// group returns the class whose jobs are sorted together with those of c.
+func (p *plan) group(c Class) Class {
+	if p.mixed && c == ClassLate {
+		return ClassOnTime
+	}
+	return c
+}
+
+// compare orders two jobs of one group.
+func (p *plan) compare(x, y Position) int {
+	a, b := &p.jobs[x.Index], &p.jobs[y.Index]
+	byPriority := cmp.Compare(a.Priority, b.Priority)
+	switch x.Class {
+	case ClassService:
+		return cmp.Or(byPriority, cmp.Compare(b.Waited, a.Waited))
+	case ClassExpired:
+		return cmp.Or(byPriority, cmp.Compare(a.CPUTime, b.CPUTime))
+	default:
+		return cmp.Or(byPriority, cmp.Compare(a.slack(x.Class), b.slack(y.Class)))
+	}
+}
+
+// timeLeftHeap is a heap of jobs with the one that has the least time left on top.
+type timeLeftHeap []pendingItem
+
+type pendingItem struct {
+	index    int
+	timeLeft time.Duration
+}
+
+func (h timeLeftHeap) Len() int           { return len(h) }
+func (h timeLeftHeap) Less(i, j int) bool { return h[i].timeLeft < h[j].timeLeft }
+func (h timeLeftHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+
+// Push implements heap.Interface.
+func (h *timeLeftHeap) Push(x any) { *h = append(*h, x.(pendingItem)) }
+
+// Pop implements heap.Interface.
+func (h *timeLeftHeap) Pop() any {
+	old := *h
+	x := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return x
+}
+
+// cpuTimeHeap is a heap of jobs with the one that needs the most CPU time on top.
+type cpuTimeHeap []heapItem
+
+type heapItem struct {
+	index   int
+	cpuTime time.Duration
+}
+
+func (h cpuTimeHeap) Len() int           { return len(h) }
+func (h cpuTimeHeap) Less(i, j int) bool { return h[i].cpuTime > h[j].cpuTime }
+func (h cpuTimeHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+
+// Push implements heap.Interface.
+func (h *cpuTimeHeap) Push(x any) { *h = append(*h, x.(heapItem)) }
+
+// Pop implements heap.Interface.
+func (h *cpuTimeHeap) Pop() any {
+	old := *h
+	x := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return x
+}
