ctrl, jobs: tasks of VMs that are down start elsewhere at once

Change: the controller names to a pool its targets with runs whose VMs are not up; the pool reports their newest incarnation; a list that was requested after that report and still shows the VM as not up proves that this incarnation has ended. No clock is compared, and a VM that is only silent is listed as up.

--- a/internal/ctrl/controller.go
+++ b/internal/ctrl/controller.go
@@ -74,6 +74,7 @@
 	commands     map[work.VMID]*sentCommand                           // those whose effect has not been seen yet
 	cordons      map[ident.PoolID]map[work.TargetID]jobs.CordonReason // decided in the last round
 	reserve      map[ident.PoolID]work.Millicores                     // by sizer.Reserve, in the last round
+	reports      []sizer.Pool                                         // of the last round
 }
 
 // sentCommand is a command for one VM that has been sent or is being sent.
@@ -124,6 +125,7 @@
 		return err
 	}
 	pools := c.collectReports(ctx, vms)
+	c.reports = pools
 	now := c.Clock.Now()
 	c.forgetCompleted(now, vms)
 	cordons := map[ident.PoolID]map[work.TargetID]jobs.CordonReason{}
@@ -174,13 +176,14 @@
 	var mu sync.Mutex
 	var out []sizer.Pool
 	var wg sync.WaitGroup
+	down := targetsDown(vms, c.reports)
 	for _, pool := range c.Pools.Configured() {
 		if pool.PoweredOff {
 			out = append(out, poweredOffPool(pool.ID, vms))
 			continue
 		}
 		wg.Go(func() {
-			report, err := c.Pools.Report(ctx, pool.ID, jobs.Directives{Cordons: c.cordons[pool.ID], Reserve: c.reserve[pool.ID]})
+			report, err := c.Pools.Report(ctx, pool.ID, jobs.Directives{Cordons: c.cordons[pool.ID], Reserve: c.reserve[pool.ID], Down: down[pool.ID]})
 			if err != nil {
 				c.Logger.Debug("pool report failed", "pool", pool.ID, "error", err)
 				return
@@ -194,6 +197,25 @@
 	return out
 }
 
+// targetsDown returns, by pool, the targets with runs whose VMs are not up, with the incarnations that the pools have
+// reported for them. The list of VMs must be newer than the reports: an incarnation that was reported before its VM was
+// listed as down has ended.
+func targetsDown(vms map[work.VMID]work.VM, reports []sizer.Pool) map[ident.PoolID]map[work.TargetID]int64 {
+	out := map[ident.PoolID]map[work.TargetID]int64{}
+	for i := range reports {
+		for _, t := range reports[i].Targets {
+			if vm, listed := vms[t.VM]; !listed || vm.State == work.VMUp || t.Runs == 0 {
+				continue
+			}
+			if out[reports[i].ID] == nil {
+				out[reports[i].ID] = map[work.TargetID]int64{}
+			}
+			out[reports[i].ID][t.ID] = t.Incarnation
+		}
+	}
+	return out
+}
+
 // poweredOffPool returns the state of a pool whose VMs are off. It is made from the list of VMs, since such a pool isn't
 // asked for a report.
 func poweredOffPool(id ident.PoolID, vms map[work.VMID]work.VM) sizer.Pool {
--- a/internal/ctrl/plan_test.go
+++ b/internal/ctrl/plan_test.go
@@ -45,3 +45,17 @@
 		}
 	}
 }
+
+// Guards against a list of VMs that is older than the incarnation which it is taken to end: a target counts as down only by
+// an incarnation that its pool reported before the list was requested.
+func TestTargetsDownByReportedIncarnation(t *testing.T) {
+	vms := map[work.VMID]work.VM{"crashed": {ID: "crashed", State: work.VMDown}, "up": {ID: "up", State: work.VMUp, Target: "t2"}}
+	report := sizer.Pool{ID: "p", Targets: []sizer.Target{{ID: "t1", VM: "crashed", Runs: 2}, {ID: "t2", VM: "up", Runs: 1}, {ID: "t3", VM: "unlisted", Runs: 1}}}
+	for _, reported := range []int64{0, 1000} {
+		report.Targets[0].Incarnation = reported
+		got := targetsDown(vms, []sizer.Pool{report})["p"]
+		if incarnation, ok := got["t1"]; !ok || incarnation != reported || len(got) != 1 {
+			t.Errorf("targets down: %v, want t1 with incarnation %d", got, reported)
+		}
+	}
+}
--- a/internal/jobs/report.go
+++ b/internal/jobs/report.go
@@ -1,7 +1,9 @@
 package jobs
 
 import (
+	"maps"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/toucanhatch/toucanhatch/internal/admit"
@@ -96,12 +98,17 @@
 	Cordons map[work.TargetID]CordonReason `cbor:"1,keyasint,omitempty"`
 	// Reserve is the capacity that is on its way to the pool or can be lent to it.
 	Reserve work.Millicores `cbor:"2,keyasint,omitempty"`
+	// Down holds the targets with runs whose VMs are not up according to the VM service. The value is the incarnation that
+	// the pool has reported, if the VM was listed as not up again after that report: this incarnation has ended. It is 0
+	// before.
+	Down map[work.TargetID]int64 `cbor:"3,keyasint,omitempty"`
 }
 
 // Report applies the directives and returns the state of the pool for the fleet controller, which sizes the pools and
 // carries out maintenance.
 func (p *Pool) Report(now time.Time, d Directives) sizer.Pool {
 	p.reserve = d.Reserve
+	p.handleDown(now, d.Down)
 	p.arrivals.decay(now)
 	p.arrivals.forget(now)
 	out := sizer.Pool{
@@ -121,6 +128,9 @@
 			ID: t.ID, VM: t.VM, Zone: t.Zone, Capacity: t.Capacity, Runs: len(t.runs), Draining: t.Draining,
 			Reachable: !t.unreachable && t.reportedIncarnation != 0, Cordoned: t.cordon != NoCordon,
 		}
+		if _, down := d.Down[t.ID]; down {
+			s.Incarnation = t.newestIncarnation()
+		}
 		if !t.idleSince.IsZero() {
 			s.IdleFor = now.Sub(t.idleSince)
 		}
@@ -154,6 +164,25 @@
 	return out
 }
 
+// handleDown ends the runs of the incarnations that have ended with their VMs, so that their tasks start elsewhere at once
+// and not when the leases have expired.
+func (p *Pool) handleDown(now time.Time, down map[work.TargetID]int64) {
+	for _, id := range slices.Sorted(maps.Keys(down)) {
+		if incarnation := down[id]; incarnation != 0 {
+			p.HandleRestart(now, id, incarnation+1)
+		}
+	}
+}
+
+// newestIncarnation returns the newest incarnation of the target that has reported or has runs; 0 if there is none.
+func (t *target) newestIncarnation() int64 {
+	newest := t.reportedIncarnation
+	for _, r := range t.orderedRuns {
+		newest = max(newest, r.incarnation)
+	}
+	return newest
+}
+
 // drainCordoned stops the service tasks of a cordoned target so that they start elsewhere, as far as their steps allow
 // tasks to be unavailable.
 func (p *Pool) drainCordoned(now time.Time, t *target) {
--- a/internal/jobs/steps_test.go
+++ b/internal/jobs/steps_test.go
@@ -273,3 +273,29 @@
 		}
 	}
 }
+
+// Guards against tasks that wait for the lease of a target whose VM is known to be down, and against runs of a later
+// incarnation that end because an earlier one has.
+func TestTasksOfDownVMStartElsewhere(t *testing.T) {
+	h := newHarness(t, 1)
+	h.submit(smallStep)
+	first := h.planAndCarryOut()
+	h.register("t1")
+	h.deliverReport("t1")
+	report := h.pool.Report(h.now, Directives{Down: map[work.TargetID]int64{"t0": 0}})
+	if got, want := report.Targets[0].Incarnation, int64(1000); got != want {
+		t.Fatalf("reported incarnation %d, want %d", got, want)
+	}
+	if got := h.planAndCarryOut(); len(got) != 0 {
+		t.Fatalf("%d tasks start elsewhere before the incarnation is known to have ended, want none", len(got))
+	}
+	h.pool.Report(h.now, Directives{Down: map[work.TargetID]int64{"t0": 1000}})
+	second := h.planAndCarryOut()
+	if len(second) != 1 || second[0].Target != "t1" || second[0].Task != first[0].Task {
+		t.Fatalf("started %+v after the VM of t0 was found down, want task %v on t1", second, first[0].Task)
+	}
+	h.pool.Report(h.now, Directives{Down: map[work.TargetID]int64{"t1": 999}})
+	if got := h.planAndCarryOut(); len(got) != 0 {
+		t.Errorf("%d tasks start again although only an earlier incarnation has ended, want none", len(got))
+	}
+}
--- a/internal/jobs/tick.go
+++ b/internal/jobs/tick.go
@@ -111,8 +111,8 @@
 	}
 }
 
-// HandleRestart notes that a target's VM runs a later incarnation. Runs of
-// earlier incarnations have ended. An incarnation older than a run's says
+// HandleRestart notes that all incarnations of a target before the given one have ended, since its VM is down or runs a
+// later one. Their runs have ended. An incarnation older than a run's says
 // nothing about the run, since the caller's view may be out of date.
 func (p *Pool) HandleRestart(now time.Time, id work.TargetID, incarnation int64) {
 	t := p.targets[id]
@@ -121,7 +121,7 @@
 	}
 	for _, r := range t.runList() {
 		if r.incarnation != 0 && r.incarnation < incarnation {
-			p.markLost(now, r, "the VM has restarted")
+			p.markLost(now, r, "the VM has restarted or is down")
 		}
 	}
 	if t.reportedIncarnation != 0 && t.reportedIncarnation < incarnation {
--- a/internal/sizer/sizer.go
+++ b/internal/sizer/sizer.go
@@ -39,6 +39,8 @@
 	Cordoned     bool           `cbor:"10,keyasint,omitempty"` // gets no new tasks
 	Excluded     bool           `cbor:"11,keyasint,omitempty"` // not counted and not moved, for example during its maintenance
 	Pinned       bool           `cbor:"12,keyasint,omitempty"` // counted, but not to be moved yet
+	// Incarnation is the newest one that the pool knows; 0 if the fleet controller has not asked for it.
+	Incarnation int64 `cbor:"13,keyasint,omitempty"`
 }
 
 // Move assigns a VM to another pool.
