plog: unanswered appends are repeated while earlier attempts are open

Cause: an attempt that was sent while the log was silent is never answered, and the next one followed after 1 s, then 2.5 s. Change: one Appender for owners and the controller repeats an append twice a second. It reports a refusal only if no attempt is without an answer.

--- a/internal/ctrl/store.go
+++ b/internal/ctrl/store.go
@@ -22,9 +22,9 @@
 
 const (
 	// writerName names the fleet controller as a writer to the log.
-	writerName   = "steer"
-	writeTimeout = time.Second
-	writePause   = 50 * time.Millisecond
+	writerName = "steer"
+	// writePause is the time until a refused write is repeated.
+	writePause = 50 * time.Millisecond
 	// maxSkew is the largest difference between the wall times of two VMs, each corrected by the median of several VMs.
 	maxSkew    = time.Second
 	vmPrefix   = "machine/"
@@ -126,18 +126,10 @@
 // append writes records. It repeats the same write until the log has confirmed it, this writer is fenced, or ctx is done.
 func (s *store) append(ctx context.Context, to plog.TopicPartition, records []plog.Record) error {
 	s.seq[to]++
+	appender := plog.Appender{Log: s.log, Clock: s.clock, Logger: s.logger}
 	for {
-		call, cancel := context.WithTimeout(ctx, writeTimeout)
-		err := s.log.Append(call, to, plog.Writer{Name: writerName, Epoch: s.epoch, Seq: s.seq[to]}, records)
-		cancel()
-		if err == nil || errors.Is(err, plog.ErrFenced) || ctx.Err() != nil {
-			return err
-		}
-		var seq *plog.SeqError
-		if errors.As(err, &seq) {
-			return err
-		}
-		if clock.Sleep(ctx, s.clock, writePause) != nil {
+		err := appender.Append(ctx, to, plog.Writer{Name: writerName, Epoch: s.epoch, Seq: s.seq[to]}, records, false)
+		if !errors.Is(err, plog.ErrRefused) || clock.Sleep(ctx, s.clock, writePause) != nil {
 			return err
 		}
 	}
--- a/internal/shard/write.go
+++ b/internal/shard/write.go
@@ -16,11 +16,9 @@
 const (
 	// writerName is the same for all owners; their epochs differ.
 	writerName = "owner"
-	// writeTimeout is when a write without a response is repeated on another connection.
-	writeTimeout = time.Second
-	// slowWriteTimeout is the timeout once a write has got no response, for a log that responds slowly.
-	slowWriteTimeout = 2500 * time.Millisecond
-	// retryPause is the time between two attempts of a write, or of a read at a takeover.
+	// takeoverTimeout bounds one call to the log at a takeover.
+	takeoverTimeout = time.Second
+	// retryPause is the time between two attempts of such a call.
 	retryPause = 50 * time.Millisecond
 	// refusedPause is the time until the next write after the log has refused one.
 	refusedPause = 150 * time.Millisecond
@@ -106,11 +104,12 @@
 
 // append executes a write, and posts its result once the log has responded.
 func (s *Shard) append(w *write, records []plog.Record) {
+	appender := plog.Appender{Log: s.Log, Clock: s.Clock, Logger: s.Logger}
 	var err error
 	for i, chunk := range chunks(records) {
 		s.seq++
 		// Once a chunk is stored, a refusal of a later chunk must not withdraw the whole write.
-		if err = s.appendChunk(chunk, i > 0); err != nil {
+		if err = appender.Append(s.ctx, s.topicPartition(), plog.Writer{Name: writerName, Epoch: s.Epoch, Seq: s.seq}, chunk, i > 0); err != nil {
 			s.seq--
 			break
 		}
@@ -136,33 +135,6 @@
 	return append(out, records[from:])
 }
 
-// appendChunk repeats an append until the log has responded. It returns ErrRefused only if
-// nothing of the write can have been stored; unknownOutcome means that a part may be stored already.
-func (s *Shard) appendChunk(chunk []plog.Record, unknownOutcome bool) error {
-	timeout := writeTimeout
-	for {
-		ctx, cancel := context.WithTimeout(s.ctx, timeout)
-		err := s.Log.Append(ctx, s.topicPartition(), plog.Writer{Name: writerName, Epoch: s.Epoch, Seq: s.seq}, chunk)
-		cancel()
-		var seqErr *plog.SeqError
-		switch {
-		case err == nil:
-			return nil
-		case errors.Is(err, plog.ErrFenced), errors.As(err, &seqErr), s.ctx.Err() != nil:
-			return err
-		case errors.Is(err, plog.ErrRefused) && !unknownOutcome:
-			return err
-		case errors.Is(err, plog.ErrNoResponse):
-			unknownOutcome = true
-			timeout = slowWriteTimeout
-		}
-		s.Logger.Info("append not confirmed; repeating it", "partition", s.Partition, "append", s.seq, "unsure", unknownOutcome, "error", err)
-		if clock.Sleep(s.ctx, s.Clock, retryPause) != nil {
-			return s.ctx.Err()
-		}
-	}
-}
-
 // writeDone handles the result of a write.
 func (s *Shard) writeDone(now time.Time, w *write, err error) {
 	switch {
@@ -276,7 +248,7 @@
 // retry repeats a call until it succeeds, the shard ends, or a later owner has fenced this one.
 func (s *Shard) retry(f func(ctx context.Context) error) error {
 	for {
-		ctx, cancel := context.WithTimeout(s.ctx, writeTimeout)
+		ctx, cancel := context.WithTimeout(s.ctx, takeoverTimeout)
 		err := f(ctx)
 		cancel()
 		if err == nil || errors.Is(err, plog.ErrFenced) {
