jobs: a retried job counts from its first submission

Cause: a job that was refused in an outage counted as new when its client came back, so that it was late for its client and behind others by our order; the demand of the outage was not known until then. Change: an owner notes submissions that it can't store. Rank, objective and admission count from the first one. Kept: what is known to be too late is refused at once.

--- a/internal/admit/admit.go
+++ b/internal/admit/admit.go
@@ -15,7 +15,8 @@
 type Demand struct {
 	CPUTime      time.Duration // single-core CPU time
 	LongestChain time.Duration // run time of its longest chain of dependent tasks
-	Objective    time.Duration // time in which it should complete, from its acceptance
+	Objective    time.Duration // time in which it should complete, from its first submission
+	Elapsed      time.Duration // since its first submission
 	Service      bool          // it runs until it is canceled
 	Scheduled    bool          // it starts later
 }
@@ -56,10 +57,10 @@
 	}
 	wait := time.Duration(float64(l.Backlog) / capacity)
 	ownTime := max(d.LongestChain, time.Duration(float64(d.CPUTime)/capacity))
-	if wait+ownTime > maxLateness*d.Objective {
+	if excess := d.Elapsed + wait + ownTime - maxLateness*d.Objective; excess > 0 {
 		return Decision{
 			Reason: "behind the backlog, the job would complete too late", Wait: wait,
-			RetryAfter: min(max(wait+ownTime-maxLateness*d.Objective, minRetry), maxRetry),
+			RetryAfter: min(max(excess, minRetry), maxRetry),
 		}
 	}
 	return Decision{Admit: true, Wait: wait}
--- a/internal/jobs/job.go
+++ b/internal/jobs/job.go
@@ -12,7 +12,7 @@
 	id              work.JobID
 	queue           work.QueueID
 	spec            *work.Spec
-	accepted        time.Time // wall clock
+	submitted       time.Time // wall time of the first submission, which may have been refused
 	canceled        bool
 	failed          bool
 	finishedAt      time.Time // wall clock; zero while the job is active
@@ -61,8 +61,8 @@
 	avoidTarget work.TargetID // target on which the last run failed or made too little progress
 }
 
-func newJob(id work.JobID, queue work.QueueID, spec *work.Spec, accepted time.Time) *job {
-	j := &job{id: id, queue: queue, spec: spec, accepted: accepted, occurrencesLeft: spec.Occurrences()}
+func newJob(id work.JobID, queue work.QueueID, spec *work.Spec, submitted time.Time) *job {
+	j := &job{id: id, queue: queue, spec: spec, submitted: submitted, occurrencesLeft: spec.Occurrences()}
 	j.longestChain = longestChain(spec, nil)
 	j.cpuTime = totalCPUTime(spec)
 	return j
@@ -155,7 +155,7 @@
 // record returns the record of the job.
 func (j *job) record(pool ident.PoolID, queue work.Queue) *Record {
 	r := &Record{
-		ID: j.id, Queue: queue, Pool: pool, Spec: *j.spec, Accepted: j.accepted,
+		ID: j.id, Queue: queue, Pool: pool, Spec: *j.spec, Accepted: j.submitted,
 		Canceled: j.canceled, Failed: j.failed, Finished: j.finishedAt,
 	}
 	for _, o := range j.occurrences {
--- a/internal/jobs/plan.go
+++ b/internal/jobs/plan.go
@@ -81,7 +81,7 @@
 // rankView returns the properties of a job that determine its rank.
 func (p *Pool) rankView(now time.Time, j *job) rank.Job {
 	q := p.queues[j.queue]
-	since := j.accepted
+	since := j.submitted
 	chain, total := p.remaining(j)
 	if j.spec.Repeat > 0 {
 		for _, o := range j.occurrences {
--- a/internal/jobs/pool.go
+++ b/internal/jobs/pool.go
@@ -101,13 +101,14 @@
 func (p *Pool) Submit(now time.Time, id work.JobID, queue work.Queue, spec *work.Spec) SubmitResult {
 	p.addUnknownQueue(queue)
 	demand := p.demand(queue, spec)
-	p.arrivals.add(now, id, demand)
+	first := p.arrivals.add(now, id, demand)
+	demand.Elapsed = now.Sub(first)
 	decision := admit.Decide(p.load(now), demand)
 	if !decision.Admit {
 		p.emit(Event{Kind: EventRefused, Job: id, Queue: queue.ID, Detail: decision.Reason, Delay: decision.RetryAfter})
 		return SubmitResult{Refused: true, RetryAfter: decision.RetryAfter}
 	}
-	j := newJob(id, queue.ID, spec, p.wallTime(now))
+	j := newJob(id, queue.ID, spec, p.wallTime(first))
 	p.addJob(now, j)
 	j.firstWrite = p.nextWrite
 	p.markDirty(j)
@@ -116,6 +117,13 @@
 	return SubmitResult{Write: j.firstWrite}
 }
 
+// NoteArrival counts a submission that can't be stored now as demand. If the client submits the job again, the job's
+// objective counts from this submission.
+func (p *Pool) NoteArrival(now time.Time, id work.JobID, queue work.Queue, spec *work.Spec) {
+	p.addUnknownQueue(queue)
+	p.arrivals.add(now, id, p.demand(queue, spec))
+}
+
 // Known reports whether the pool has a job with this id, stored or about to be stored.
 func (p *Pool) Known(id work.JobID) bool { return p.jobs[id] != nil }
 
--- a/internal/jobs/pool_test.go
+++ b/internal/jobs/pool_test.go
@@ -315,3 +315,23 @@
 		}
 	}
 }
+
+// Guards against a job whose client was told to retry, and that then counts as new: it is behind jobs that were submitted
+// later, and its demand isn't known until the log is back.
+func TestRetriedJobCountsFromItsFirstSubmission(t *testing.T) {
+	const id, outage = work.JobID("0000000000000002"), 500 * time.Millisecond
+	h := newHarness(t, 1)
+	spec := &work.Spec{Steps: []work.Step{{Count: 4, Need: work.Resources{CPU: 4000, Memory: 10}, Estimate: time.Second}}}
+	h.pool.NoteArrival(h.now, id, testQueue, spec)
+	if got := h.pool.Report(h.now, Directives{}).ArrivalRate; got == 0 {
+		t.Error("the arrival rate is 0 after a submission that could not be stored")
+	}
+	h.now = h.now.Add(outage)
+	h.submit(spec.Steps...)
+	if a := h.pool.Submit(h.now, id, testQueue, spec); a.Refused {
+		t.Fatalf("job %s was refused", id)
+	}
+	if first := h.planAndCarryOut(); len(first) != 4 || first[0].Task.Job != id {
+		t.Errorf("started %+v, want the four tasks of job %s, which was submitted first", first, id)
+	}
+}
--- a/internal/jobs/record.go
+++ b/internal/jobs/record.go
@@ -15,7 +15,7 @@
 	Queue    work.Queue   `cbor:"2,keyasint"`
 	Pool     ident.PoolID `cbor:"3,keyasint"`
 	Spec     work.Spec    `cbor:"4,keyasint"`
-	Accepted time.Time    `cbor:"5,keyasint"`
+	Accepted time.Time    `cbor:"5,keyasint"` // wall time of the first submission
 	Canceled bool         `cbor:"6,keyasint,omitempty"`
 	Failed   bool         `cbor:"7,keyasint,omitempty"`
 	Finished time.Time    `cbor:"8,keyasint,omitempty"` // when it completed, failed or was canceled
--- a/internal/jobs/report.go
+++ b/internal/jobs/report.go
@@ -42,15 +42,16 @@
 	a.at = now
 }
 
-func (a *arrivalRate) add(now time.Time, id work.JobID, d admit.Demand) {
+// add counts a submission, and returns when the job was first submitted.
+func (a *arrivalRate) add(now time.Time, id work.JobID, d admit.Demand) (first time.Time) {
 	if d.Service || d.Scheduled {
-		return
+		return now
 	}
 	if a.seen == nil {
 		a.seen = map[work.JobID]time.Time{}
 	}
-	if _, again := a.seen[id]; again {
-		return
+	if first, again := a.seen[id]; again {
+		return first
 	}
 	if len(a.seen) >= maxSeen {
 		clear(a.seen)
@@ -59,6 +60,7 @@
 	a.decay(now)
 	a.fast += float64(d.CPUTime) / float64(fastWindow)
 	a.slow += float64(d.CPUTime) / float64(slowWindow)
+	return now
 }
 
 // restore counts a job that a previous owner accepted; age is the time since then. Jobs may be restored in any order.
--- a/internal/shard/requests.go
+++ b/internal/shard/requests.go
@@ -34,6 +34,7 @@
 		p := s.pool(queue.Pool)
 		if s.inFlight != nil && now.Sub(s.inFlight.startedAt) > maxWriteDelay {
 			if _, known := p.State(id, p.durable); !known {
+				p.NoteArrival(now, id, queue, spec)
 				reply <- ErrNotStored
 				return
 			}
