jobd: submissions of unknown outcome are repeated while the client waits

Cause: a client whose request may have been carried out got 504 after 0.7 s, though the next owner would have stored the job.

--- a/internal/jobd/service.go
+++ b/internal/jobd/service.go
@@ -196,7 +196,7 @@
 		if r.Outcome != outcomeNotOwner && r.Outcome != outcomeUncertain {
 			return r, uncertain
 		}
-		if ctx.Err() != nil || s.Clock.Now().Sub(begin) > ownerRetryTime || !s.Connected() {
+		if ctx.Err() != nil || !retryOwner(m, s.Clock.Now().Sub(begin), uncertain, s.Connected()) {
 			return r, uncertain
 		}
 		s.Owners.RequestRefresh()
@@ -206,6 +206,16 @@
 	}
 }
 
+// retryOwner reports whether a request without an answer from the pool's owner is sent again, elapsed after it came. A
+// submission that may have been carried out is repeated as long as its client waits: the client can't send it again, and a
+// repeat that succeeds tells the outcome.
+func retryOwner(m link.Method, elapsed time.Duration, uncertain, connected bool) bool {
+	if m == methodSubmit && uncertain {
+		return true
+	}
+	return connected && elapsed <= ownerRetryTime
+}
+
 // tryOwner makes one attempt to carry a request out at the owner of partition p.
 func (s *Service) tryOwner(ctx context.Context, m link.Method, req request, p plog.TopicPartition) response {
 	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
