--- a/internal/admit/admit.go
+++ b/internal/admit/admit.go
@@ -4,11 +4,13 @@
 
 // Load is the accepted work of a pool and the capacity that it has for it.
 type Load struct {
-	Backlog        time.Duration // single-core CPU time of accepted work that is not done yet
-	Capacity       float64       // cores of the targets that accept new tasks
-	Jobs           int           // active jobs
-	Reserve        float64       // cores on their way to the pool, or that other pools could give it
-	RecentTakeover bool          // this process has just taken over the pool, so Capacity and Reserve may be far too low
+	Backlog  time.Duration // single-core CPU time of accepted work that is not done yet
+	Capacity float64       // cores of the targets that accept new tasks
+	Jobs     int           // active jobs
+	Reserve  float64       // cores on their way to the pool, or that other pools could give it
+	// CapacityUnknown means that Capacity and Reserve may be far too low: this process has just taken over the pool, or no
+	// fleet controller tells it what other pools could give.
+	CapacityUnknown bool
 }
 
 // Demand describes a new job.
@@ -48,8 +50,8 @@
 	if d.Service || d.Scheduled {
 		return Decision{Admit: true}
 	}
-	if l.RecentTakeover {
-		return Decision{Admit: true, Reason: "the pool has just been taken over"}
+	if l.CapacityUnknown {
+		return Decision{Admit: true, Reason: "the capacity that the pool can get is not known"}
 	}
 	capacity := l.Capacity + l.Reserve
 	if capacity <= 0 {
--- a/internal/jobs/pool.go
+++ b/internal/jobs/pool.go
@@ -48,6 +48,7 @@
 	acks           []Ack           // since the last call of TakeAcks
 	arrivals       arrivalRate
 	reserve        work.Millicores // capacity that is on its way to the pool or can be lent to it
+	directed       bool            // the fleet controller sends directives, so that reserve is up to date
 }
 
 // Bounds are the properties of the platform that the pool relies on.
--- a/internal/jobs/report.go
+++ b/internal/jobs/report.go
@@ -109,7 +109,7 @@
 // Report applies the directives and returns the state of the pool for the fleet controller, which sizes the pools and
 // carries out maintenance.
 func (p *Pool) Report(now time.Time, d Directives) sizer.Pool {
-	p.reserve = d.Reserve
+	p.reserve, p.directed = d.Reserve, true
 	p.handleDown(now, d.Down)
 	p.arrivals.decay(now)
 	p.arrivals.forget(now)
--- a/internal/jobs/target.go
+++ b/internal/jobs/target.go
@@ -187,7 +187,7 @@
 
 // ClearDirectives ends all cordons and the reserve. It is called when no fleet controller sends directives any more.
 func (p *Pool) ClearDirectives() {
-	p.reserve = 0
+	p.reserve, p.directed = 0, false
 	for id := range p.targets {
 		p.Cordon(id, NoCordon)
 	}
--- a/internal/jobs/tick.go
+++ b/internal/jobs/tick.go
@@ -210,7 +210,7 @@
 
 // load returns the backlog and the capacity of the pool, for the decision whether to admit a job.
 func (p *Pool) load(now time.Time) admit.Load {
-	l := admit.Load{Jobs: len(p.active), Reserve: float64(p.reserve) / 1000, RecentTakeover: now.Sub(p.OwnedSince) < takeoverGrace}
+	l := admit.Load{Jobs: len(p.active), Reserve: float64(p.reserve) / 1000, CapacityUnknown: !p.directed || now.Sub(p.OwnedSince) < takeoverGrace}
 	for _, j := range p.active {
 		if !j.spec.HasServiceStep() {
 			_, total := p.remaining(j)
--- a/internal/plog/repeat_test.go
+++ b/internal/plog/repeat_test.go
@@ -33,7 +33,9 @@
 	t.Helper()
 	log, manual, result = &scriptedLog{calls: make(chan chan error, 8)}, clock.NewManual(time.Now()), make(chan error, 1)
 	a := &Appender{Log: log, Clock: manual, Logger: hclog.NewNullLogger()}
-	go func() { result <- a.Append(t.Context(), TopicPartition{Topic: "t"}, Writer{Name: "w", Epoch: 1, Seq: 1}, nil, false) }()
+	go func() {
+		result <- a.Append(t.Context(), TopicPartition{Topic: "t"}, Writer{Name: "w", Epoch: 1, Seq: 1}, nil, false)
+	}()
 	return log, manual, <-log.calls, result
 }
 
