jobd: owners of the own zone alone don't show that the log is down for all

Its three processes were most of the owners that answered, took the log to be down for all, stayed ready, and refused 65 requests in 6 s. Change: a reply from another zone is needed, unless all owners reply.

--- a/internal/jobd/connected.go
+++ b/internal/jobd/connected.go
@@ -10,6 +10,7 @@
 	"github.com/toucanhatch/toucanhatch/internal/clock"
 	"github.com/toucanhatch/toucanhatch/internal/group"
 	"github.com/toucanhatch/toucanhatch/internal/link"
+	"github.com/toucanhatch/toucanhatch/pkg/ident"
 )
 
 const (
@@ -30,13 +31,19 @@
 // pingReply is the response to a ping.
 type pingReply struct {
 	SinceLogResponse time.Duration `cbor:"1,keyasint,omitempty"` // since the log last confirmed the membership of the daemon that answers
+	Zone             ident.ZoneID  `cbor:"2,keyasint,omitempty"` // of the daemon that answers
 }
 
-// isConnected reports whether clients can be served here as well as anywhere, given the replies of the owners to a
-// ping: one of them reaches the log, or most of them reply, which means that the log is out of reach for all daemons
-// alike. A minority that doesn't reach the log may be isolated together with this daemon.
-func isConnected(owners int, replies []pingReply) bool {
-	return anyReachesLog(replies) || 2*len(replies) > owners
+// isConnected reports whether clients can be served in a zone as well as anywhere, given the replies of the owners to a
+// ping: one of them reaches the log, or most of them reply and some do from other zones, which means that the log is out of
+// reach for all daemons alike. A minority that doesn't reach the log may be isolated together with this daemon, and so may
+// a majority in its own zone: while processes restart, the owners of one zone can be most of all.
+func isConnected(zone ident.ZoneID, owners int, replies []pingReply) bool {
+	if anyReachesLog(replies) {
+		return true
+	}
+	elsewhere := slices.ContainsFunc(replies, func(r pingReply) bool { return r.Zone != zone })
+	return 2*len(replies) > owners && (elsewhere || len(replies) == owners)
 }
 
 func anyReachesLog(replies []pingReply) bool {
@@ -44,7 +51,7 @@
 }
 
 func (s *Service) pingReply() pingReply {
-	return pingReply{SinceLogResponse: s.Clock.Now().Sub(s.Member.ConfirmedAt())}
+	return pingReply{SinceLogResponse: s.Clock.Now().Sub(s.Member.ConfirmedAt()), Zone: s.Zone}
 }
 
 // Connected reports whether clients can be served here, as of the last check.
@@ -92,7 +99,7 @@
 	if !anyReachesLog(replies) {
 		replies = append(replies, s.ping(ctx, addrs[first:])...)
 	}
-	ok := isConnected(len(addrs), replies)
+	ok := isConnected(s.Zone, len(addrs), replies)
 	if ok {
 		s.ownersReachedAt.Store(sent.UnixNano())
 	}
--- a/internal/jobd/connected_test.go
+++ b/internal/jobd/connected_test.go
@@ -30,18 +30,22 @@
 
 // Guards against isolated daemons that stay ready because other daemons, isolated together with them, answer their
 // pings. The others were in the same zone (deployment grown of deploy/regression, scenario trouble-1: 182 refused
-// requests) or in several zones (scenario scale-2: 210 refused requests in its first seconds).
+// requests), in several zones (scenario scale-2: 210 refused requests in its first seconds), or in the same zone and most of
+// all owners, since processes of other zones were being restarted (deployment further, scenario trouble-2: 65 requests of
+// its clients were never served).
 func TestCheckConnected(t *testing.T) {
-	const recent, old = 100 * time.Millisecond, 5 * time.Second
+	const recent, old, here, elsewhere = 100 * time.Millisecond, 5 * time.Second, "a", "b"
 	for _, test := range []struct {
 		name    string
 		silent  int // owners that don't answer
 		replies []pingReply
 		want    bool
 	}{
-		{"one reaches the log", 5, []pingReply{{old}, {recent}}, true},
-		{"a few answer but don't reach the log", 4, []pingReply{{old}, {old}}, false},
-		{"most answer, the log is down for all", 1, []pingReply{{old}, {old}, {old}}, true},
+		{"one reaches the log", 5, []pingReply{{old, here}, {recent, here}}, true},
+		{"a few answer but don't reach the log", 4, []pingReply{{old, here}, {old, elsewhere}}, false},
+		{"most answer, the log is down for all", 1, []pingReply{{old, here}, {old, here}, {old, elsewhere}}, true},
+		{"most answer, all in this zone", 2, []pingReply{{old, here}, {old, here}, {old, here}}, false},
+		{"all answer, all in this zone", 0, []pingReply{{old, here}, {old, here}, {old, here}}, true},
 		{"none answers", 3, nil, false},
 	} {
 		t.Run(test.name, func(t *testing.T) {
@@ -54,7 +58,7 @@
 			}
 			member := &group.Member{Clock: clock.System(), Logger: hclog.NewNullLogger()}
 			member.Init()
-			s := &Service{Member: member, PeerClient: &link.Client{}, Clock: clock.System(), Logger: hclog.NewNullLogger(), Owners: table}
+			s := &Service{Zone: here, Member: member, PeerClient: &link.Client{}, Clock: clock.System(), Logger: hclog.NewNullLogger(), Owners: table}
 			if got := s.CheckConnected(t.Context()); got != test.want {
 				t.Errorf("CheckConnected = %v, want %v", got, test.want)
 			}
--- a/internal/jobd/daemon.go
+++ b/internal/jobd/daemon.go
@@ -197,7 +197,7 @@
 		TTL: max(membershipTTL, s.Log.MinTTL.Duration), StartOwner: d.startOwner, Standby: func() bool { return d.standby.On() }, AfterLeave: func() { d.notifyPeers(d.ctx) }, Clock: d.Clock, Logger: d.Logger,
 	}
 	d.member.Init()
-	d.service = &Service{Partitions: s.Log.Partitions, PeerAddress: s.PeerAddress, Member: d.member, Owners: d.owners, PeerClient: peerClient, Clock: d.Clock, Logger: d.Logger}
+	d.service = &Service{Partitions: s.Log.Partitions, PeerAddress: s.PeerAddress, Zone: s.Zone, Member: d.member, Owners: d.owners, PeerClient: peerClient, Clock: d.Clock, Logger: d.Logger}
 	d.standby = &standby{
 		Log: p.Log, PeerAddress: s.PeerAddress, CPU: s.CPU(), PeerClient: d.service.PeerClient, Owners: d.owners, Partitions: s.Log.Partitions, Clock: d.Clock, Logger: d.Logger,
 	}
--- a/internal/jobd/service.go
+++ b/internal/jobd/service.go
@@ -56,6 +56,7 @@
 type Service struct {
 	Partitions  int    // of the jobs topic
 	PeerAddress string // of this daemon
+	Zone        ident.ZoneID
 	Member      *group.Member
 	Owners      *ownerTable
 	PeerClient  *link.Client
