--- a/internal/jobd/service.go
+++ b/internal/jobd/service.go
@@ -209,12 +209,9 @@
 
 // retryOwner reports whether a request without an answer from the pool's owner is sent again, elapsed after it came. A
 // submission that may have been carried out is repeated as long as its client waits: the client can't send it again, and a
-// repeat that succeeds tells the outcome.
+// repeat that succeeds tells the outcome. An isolated daemon gives up at once, since its clients are served elsewhere.
 func retryOwner(m link.Method, elapsed time.Duration, uncertain, connected bool) bool {
-	if m == methodSubmit && uncertain {
-		return true
-	}
-	return connected && elapsed <= ownerRetryTime
+	return connected && (elapsed <= ownerRetryTime || m == methodSubmit && uncertain)
 }
 
 // tryOwner makes one attempt to carry a request out at the owner of partition p.
