Mend checks that can't fail, unused fields and wrong messages

The store now refuses every other job that is handed in while it is down, and a cancellation counts from when its record is stored. With the deletion from the dirty jobs taken out of Withdraw, the check fails after 6 draws. - wallclock.go asked five daemons, or four; now four. - cut_answers of bench slots was always 0: its targets cut no response. Removed with its bound. - Unused: work.Step.Checkpoints, Speculative, Image, place.Task.RackOnly, exchange.limited, Core.allRegisteredSince. - fold.Restore printed 'checkpoint: <nil>' for a checkpoint without a file; runner logged 'did not take effect' for steps whose outcome is unknown.

--- a/internal/bench/slots.go
+++ b/internal/bench/slots.go
@@ -34,7 +34,6 @@
 	DuplicateRuns  int     `json:"duplicate_runs"`
 	RefusedButRun  int     `json:"refused_but_run"`
 	WrongResponses int     `json:"wrong_answers"`
-	CutResponses   int     `json:"cut_answers"` // always 0: the simulated targets do not cut responses short
 	CutByKill      int     `json:"cut_by_kill"` // the request's entry was killed
 	Requests       int     `json:"requests"`
 	Completed      int     `json:"completed"`
@@ -47,7 +46,6 @@
 	BaselineDuplicateRuns  int     `json:"baseline_duplicate_runs"`
 	BaselineRefusedButRun  int     `json:"baseline_refused_but_run"`
 	BaselineWrongResponses int     `json:"baseline_wrong_answers"`
-	BaselineCutResponses   int     `json:"baseline_cut_answers"`
 	BaselineCutByKill      int     `json:"baseline_cut_by_kill"`
 	BaselineCompleted      int     `json:"baseline_completed"`
 	BaselineNoResponse     int     `json:"baseline_unanswered"`
@@ -62,7 +60,7 @@
 		{Key: "max_in_flight_per_target", Met: r.MaxInFlight <= slotsPerTarget, Want: "<= 8", Got: fmt.Sprint(r.MaxInFlight)},
 		{Key: "goodput_ratio", Met: r.GoodputRatio >= 0.95, Want: ">= 0.95", Got: fmt.Sprintf("%.3f", r.GoodputRatio)},
 		zero("duplicate_runs", r.DuplicateRuns), zero("refused_but_run", r.RefusedButRun),
-		zero("wrong_answers", r.WrongResponses), zero("cut_answers", r.CutResponses),
+		zero("wrong_answers", r.WrongResponses),
 	}
 }
 
@@ -79,12 +77,12 @@
 		return nil, err
 	}
 	r.MaxInFlight, r.GoodputRatio, r.DuplicateRuns, r.RefusedButRun = permits.maxInFlight(), permits.goodputRatio(), permits.duplicateRuns(), permits.refusedButRun()
-	r.WrongResponses, r.CutResponses, r.CutByKill = permits.value(&permits.wrongResponses), permits.value(&permits.cutResponses), permits.value(&permits.cutByKill)
+	r.WrongResponses, r.CutByKill = permits.value(&permits.wrongResponses), permits.value(&permits.cutByKill)
 	r.Requests, r.Completed, r.Refused = permits.value(&permits.requests), permits.value(&permits.completed), permits.value(&permits.refusedCount)
 	r.FailedByTarget, r.NoResponse = permits.value(&permits.failedByTarget), permits.value(&permits.noResponse)
 	r.BaselineMaxInFlight, r.BaselineGoodputRatio = baseline.maxInFlight(), baseline.goodputRatio()
 	r.BaselineDuplicateRuns, r.BaselineRefusedButRun = baseline.duplicateRuns(), baseline.refusedButRun()
-	r.BaselineWrongResponses, r.BaselineCutResponses, r.BaselineCutByKill = baseline.value(&baseline.wrongResponses), baseline.value(&baseline.cutResponses), baseline.value(&baseline.cutByKill)
+	r.BaselineWrongResponses, r.BaselineCutByKill = baseline.value(&baseline.wrongResponses), baseline.value(&baseline.cutByKill)
 	r.BaselineCompleted, r.BaselineNoResponse = baseline.value(&baseline.completed), baseline.value(&baseline.noResponse)
 	return r, nil
 }
@@ -97,7 +95,7 @@
 	nextID     int
 	refusedIDs sync.Map // IDs of requests that were refused without being run
 
-	requests, completed, refusedCount, failedByTarget, noResponse, wrongResponses, cutResponses, cutByKill atomic.Int64
+	requests, completed, refusedCount, failedByTarget, noResponse, wrongResponses, cutByKill atomic.Int64
 }
 
 func (r *slotRun) value(n *atomic.Int64) int { return int(n.Load()) }
--- a/internal/broker/core.go
+++ b/internal/broker/core.go
@@ -89,8 +89,7 @@
 	jobs        map[string]*job
 	fleetOffset ident.Offset // fleet offset of the snapshot
 
-	allRegistered      bool      // every member is registered
-	allRegisteredSince time.Time // start of the present period in which all members are registered
+	allRegistered bool // every member is registered
 	// Slots that no registered entry holds may be in use; they are reserved when all members are next registered.
 	reservationDue bool
 	// Entries of other zones may use permits of the previous broker until they have registered here, and at most
--- a/internal/broker/takeover.go
+++ b/internal/broker/takeover.go
@@ -10,11 +10,8 @@
 		h := c.holders[id]
 		all = all && h != nil && h.registered
 	}
-	if all && (!c.allRegistered || c.reservationDue) {
-		c.allRegisteredSince = now
-		if c.reservationDue {
-			c.reserveUnaccounted(now)
-		}
+	if all && c.reservationDue {
+		c.reserveUnaccounted(now)
 	}
 	if all {
 		for _, h := range c.holders {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -114,7 +114,6 @@
 	job        string
 	urgent     bool
 	deadline   time.Time // the caller must have its response by then
-	limited    bool      // the caller's timeout is shorter than longestRequest
 	idempotent bool
 	body       []byte
 	header     http.Header // sent to the target; nil before the first attempt
--- a/internal/entry/headers.go
+++ b/internal/entry/headers.go
@@ -42,7 +42,6 @@
 		}
 		limit = min(d, longestRequest)
 	}
-	x.limited = limit < longestRequest
 	x.deadline = x.began.Add(limit)
 	if x.job = headerValue(x.r.Header, jobHeader); x.job == "" {
 		x.job = x.r.URL.Path
--- a/internal/fold/checkpoint.go
+++ b/internal/fold/checkpoint.go
@@ -87,9 +87,12 @@
 		return nil, &LaterFormatError{Cause: fmt.Sprintf("format %d of a checkpoint, the newest known is %d", head.Format, latestFormat)}
 	}
 	encoded, err := wire.Unmarshal[encodedState](data)
-	if err != nil || encoded.File == nil {
+	if err != nil {
 		return nil, &BadRecordError{Cause: fmt.Sprintf("checkpoint: %v", err)}
 	}
+	if encoded.File == nil {
+		return nil, &BadRecordError{Cause: "checkpoint: it holds no published file"}
+	}
 	s := Empty()
 	s.Version, s.ConfigOffset, s.FleetOffset, s.MaxConfigRead = encoded.Version, encoded.ConfigOffset, encoded.FleetOffset, encoded.MaxConfigRead
 	s.File, s.Publisher, s.Planner, s.pools, s.partials = encoded.File, encoded.Publisher, encoded.Planner, encoded.Pools, encoded.Partials
--- a/internal/jobd/wallclock.go
+++ b/internal/jobd/wallclock.go
@@ -13,8 +13,7 @@
 const (
 	// wallClockPeriod is the time between two rounds of requests to other daemons for their time.
 	wallClockPeriod = 5 * time.Second
-	// wallClockPeers is how many daemons are asked in a round, or one more if this daemon is not among the first ones
-	// listed. Wall clocks were seen to jump on under a third of the VMs at a time.
+	// wallClockPeers is how many daemons are asked in a round. Wall clocks were seen to jump on under a third of the VMs at a time.
 	wallClockPeers = 4
 	// maxRoundTrip is the longest round trip for which the response is used.
 	maxRoundTrip = 200 * time.Millisecond
@@ -56,10 +55,8 @@
 // watchWallClock samples the clocks of other daemons until ctx is done.
 func (s *Service) watchWallClock(ctx context.Context) {
 	for ctx.Err() == nil {
-		for i, addr := range s.Owners.Addresses() {
-			if addr == s.PeerAddress || i > wallClockPeers {
-				continue
-			}
+		peers := slices.DeleteFunc(s.Owners.Addresses(), func(addr string) bool { return addr == s.PeerAddress })
+		for _, addr := range peers[:min(len(peers), wallClockPeers)] {
 			s.sampleWallClock(ctx, addr)
 		}
 		_ = clock.Sleep(ctx, s.Clock, wallClockPeriod) // the loop checks the context
--- a/internal/jobs/sim_test.go
+++ b/internal/jobs/sim_test.go
@@ -93,8 +93,8 @@
 	storeUp      bool
 	rand         func(n int) int
 
-	done         map[work.TaskID]bool // an end with EndDone was acknowledged
-	canceled     map[work.JobID]time.Time
+	done         map[work.TaskID]bool     // an end with EndDone was acknowledged
+	canceled     map[work.JobID]time.Time // when the cancellation became durable
 	accepted     map[work.JobID]*work.Spec
 	withdrawn    map[work.JobID]bool
 	failuresLeft map[work.TaskID]int
@@ -194,6 +194,9 @@
 			s.t.Fatalf("encode: %v", err)
 		}
 		s.store[r.ID] = b
+		if _, noted := s.canceled[r.ID]; r.Canceled && !noted {
+			s.canceled[r.ID] = s.now
+		}
 	}
 }
 
@@ -202,8 +205,13 @@
 		return
 	}
 	a := s.owner.pool.Submit(s.now, id, work.Queue{ID: "q", Pool: "pool", MaxAttempts: 3, SlackFactor: 2, Objective: time.Minute}, spec)
-	if !a.Refused {
-		s.accepted[id] = spec
+	if a.Refused {
+		return
+	}
+	s.accepted[id] = spec
+	// While the store is down, it refuses the write of every other job.
+	if s.withdrawn[id] = !s.storeUp && (id[len(id)-1]-'0')%2 == 0; s.withdrawn[id] {
+		s.owner.pool.Withdraw(s.now, id)
 	}
 }
 
@@ -573,11 +581,7 @@
 	case 7:
 		for _, id := range s.jobIDs() {
 			if s.rand(4) == 0 {
-				if _, known := s.owner.pool.Cancel(s.now, id); known {
-					if _, ok := s.canceled[id]; !ok {
-						s.canceled[id] = s.now.Add(time.Hour) // the cancellation is not known to be durable yet
-					}
-				}
+				s.owner.pool.Cancel(s.now, id)
 			}
 		}
 	}
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -28,7 +28,6 @@
 	Need             work.Resources // reserved on the target
 	Label            string
 	Rack             string // that holds its data or runs its gang; empty if any will do
-	RackOnly         bool   // no other rack is allowed
 	MaxPerTarget     int
 	Service          bool
 	BestEffort       bool
@@ -73,8 +72,6 @@
 		return false
 	case t.MaxPerTarget > 0 && c.SameStep >= t.MaxPerTarget:
 		return false
-	case t.RackOnly && c.Rack != t.Rack:
-		return false
 	case c.Suspect && c.Busy:
 		return false
 	}
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -148,8 +148,12 @@
 		step := a.Step()
 		outcome, err := r.append(ctx, func(h fold.Header) fold.Record { return plan.Record(a, h) },
 			fmt.Sprintf("%T/%s/%d", a, step.VM, step.Epoch))
-		if err != nil || outcome.Result != fold.Accepted {
-			r.Logger.Info("a planned step did not take effect; dropping the rest of the plan", "vm", step.VM, "reason", outcome.Reason, "error", err)
+		if err != nil {
+			r.Logger.Info("it is not known whether a planned step took effect; dropping the rest of the plan", "vm", step.VM, "error", err)
+			return
+		}
+		if outcome.Result != fold.Accepted {
+			r.Logger.Info("a planned step did not take effect; dropping the rest of the plan", "vm", step.VM, "reason", outcome.Reason)
 			return
 		}
 	}
--- a/internal/work/types.go
+++ b/internal/work/types.go
@@ -64,15 +64,12 @@
 	Need             Resources     `cbor:"2,keyasint"` // of each task
 	Estimate         time.Duration `cbor:"3,keyasint,omitempty"`
 	DependsOn        []int         `cbor:"4,keyasint,omitempty"` // indexes of earlier steps that must be done first
-	Checkpoints      bool          `cbor:"5,keyasint,omitempty"` // as submitted; not used by the scheduler
 	Gang             bool          `cbor:"6,keyasint,omitempty"` // all tasks run at the same time, or none
 	SameRack         bool          `cbor:"7,keyasint,omitempty"`
 	Label            string        `cbor:"8,keyasint,omitempty"` // required of the target
 	DataRack         string        `cbor:"9,keyasint,omitempty"` // rack that holds the step's data; tasks may run elsewhere
 	MaxPerTarget     int           `cbor:"10,keyasint,omitempty"`
-	Speculative      bool          `cbor:"11,keyasint,omitempty"` // as submitted; not used by the scheduler
 	Service          bool          `cbor:"12,keyasint,omitempty"` // tasks run until the job is canceled
-	Image            string        `cbor:"13,keyasint,omitempty"` // as submitted; not used by the scheduler
 	LatencyObjective time.Duration `cbor:"14,keyasint,omitempty"` // tail latency objective of a service task toward its own users
 	BestEffort       bool          `cbor:"15,keyasint,omitempty"` // takes only CPU time that other tasks leave unused
 	MaxUnavailable   int           `cbor:"16,keyasint,omitempty"` // tasks that the scheduler's own commands may make unavailable at once; 0 sets no limit
