place: service tasks pin few VMs

Change: a service task prefers targets that run some; spreading by step goes before that. Best-effort tasks avoid latency-sensitive tasks and no longer all service tasks.

--- a/internal/jobs/candidates.go
+++ b/internal/jobs/candidates.go
@@ -58,7 +58,7 @@
 		t.candidate = i
 		cs.list = append(cs.list, place.Candidate{
 			ID: t.ID, Free: t.Capacity.Minus(t.reserved), Capacity: t.Capacity, Rack: t.Rack, Zone: t.Zone, Labels: t.Labels,
-			Suspect: t.health.Suspect(now), Busy: len(t.runs) > 0, Services: t.serviceRuns, BestEffort: t.bestEffortRuns,
+			Suspect: t.health.Suspect(now), Busy: len(t.runs) > 0, Sensitive: t.sensitiveRuns, BestEffort: t.bestEffortRuns, Pinned: t.pinningRuns > 0,
 		})
 		if n := len(cs.zones); n == 0 || cs.zones[n-1].zone != t.Zone {
 			cs.zones = append(cs.zones, zoneSpan{zone: t.Zone, from: i})
@@ -156,10 +156,11 @@
 	c.SameStep++
 	cs.counted = append(cs.counted, k)
 	c.Busy = true
+	c.Pinned = c.Pinned || spec.Service
 	if spec.BestEffort {
 		c.BestEffort++
-	} else if spec.Service {
-		c.Services++
+	} else if spec.LatencyObjective > 0 {
+		c.Sensitive++
 	}
 }
 
--- a/internal/jobs/run.go
+++ b/internal/jobs/run.go
@@ -119,10 +119,11 @@
 	switch {
 	case s.BestEffort:
 		t.bestEffortRuns += n
-	case s.Service:
-		t.serviceRuns += n
+	case s.LatencyObjective > 0:
+		t.sensitiveRuns += n
 	}
 	if s.Service {
+		t.pinningRuns += n
 		t.serviceCPU += work.Millicores(n) * reservation(s).CPU
 	}
 }
--- a/internal/jobs/target.go
+++ b/internal/jobs/target.go
@@ -21,8 +21,9 @@
 	runs                map[runKey]*run
 	orderedRuns         []*run          // the same runs, in the order in which they were assigned
 	serviceCPU          work.Millicores // reserved by service tasks
-	serviceRuns         int             // runs of service tasks that are not best-effort
+	sensitiveRuns       int             // runs of latency-sensitive tasks that are not best-effort
 	bestEffortRuns      int             // runs of best-effort tasks
+	pinningRuns         int             // runs of service tasks, best-effort or not
 	candidate           int             // index in the current candidate set; -1 if it is not a candidate
 	cordon              CordonReason
 	idleSince           time.Time
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -16,8 +16,9 @@
 	Zone       ident.ZoneID
 	Labels     []string
 	SameStep   int  // tasks of the step that it already runs
-	Services   int  // service tasks that it runs
+	Sensitive  int  // latency-sensitive tasks that it runs
 	BestEffort int  // best-effort tasks that it runs
+	Pinned     bool // runs a service task, so that its VM can't be lent to another pool
 	Draining   bool // will leave the pool soon
 	Suspect    bool // gets one task at a time
 	Busy       bool // runs at least one task
@@ -43,7 +44,8 @@
 	drainingCost     = 100  // the task would have to move soon
 	remoteCost       = 40   // a task away from its data takes several times as long
 	spreadCost       = 30   // for each service task of the same step
-	interferenceCost = 20   // for each pair of a best-effort and a service task
+	pinCost          = 25   // a service task on a target without any keeps one more VM in the pool
+	interferenceCost = 20   // for each pair of a best-effort and a latency-sensitive task
 	zoneCost         = 15   // the loss or isolation of a zone delays each job that has a task there
 	leftoverCost     = 10   // for the share of the target that stays free
 )
@@ -97,9 +99,12 @@
 	}
 	if t.Service {
 		s += spreadCost * float64(c.SameStep)
+		if !c.Pinned {
+			s += pinCost
+		}
 	}
 	if t.BestEffort {
-		s += interferenceCost * float64(c.Services)
+		s += interferenceCost * float64(c.Sensitive)
 	}
 	if t.LatencySensitive {
 		s += interferenceCost * float64(c.BestEffort)
--- /dev/null
+++ b/internal/place/place_test.go
@@ -0,0 +1,55 @@
+package place
+
+import (
+	"testing"
+
+	"github.com/toucanhatch/toucanhatch/internal/work"
+)
+
+// Service tasks are spread by step, but over as few VMs as that allows. Guards against VMs that stay in a pool for minutes,
+// nearly idle, because each runs one of its service tasks: in an overload test, 10 VMs where the pool needed 3.
+func TestServiceTasksPinFewVMs(t *testing.T) {
+	const (
+		targets = 20
+		steps   = 6
+		tasks   = 5 // of each step
+	)
+	whole := work.Resources{CPU: 64000, Memory: 262144}
+	candidates := make([]Candidate, targets)
+	for i := range candidates {
+		candidates[i] = Candidate{Free: whole, Capacity: whole}
+		if i%2 == 0 { // half of the targets run other tasks
+			candidates[i].Free, candidates[i].Busy = whole.Minus(work.Resources{CPU: 40000, Memory: 100000}), true
+		}
+	}
+	task := Task{Need: work.Resources{CPU: 4000, Memory: 10000}, Service: true}
+	for step := range steps {
+		task.BestEffort = step%2 == 1
+		for i := range candidates {
+			candidates[i].SameStep = 0
+		}
+		for range tasks {
+			k := Best(candidates, task)
+			if k < 0 {
+				t.Fatalf("step %d: no target fits", step)
+			}
+			candidates[k].Free = candidates[k].Free.Minus(task.Need)
+			candidates[k].SameStep++
+			candidates[k].Pinned, candidates[k].Busy = true, true
+		}
+		for i := range candidates {
+			if got := candidates[i].SameStep; got > 1 {
+				t.Errorf("step %d: target %d runs %d tasks of the step, want one at most", step, i, got)
+			}
+		}
+	}
+	pinned := 0
+	for i := range candidates {
+		if candidates[i].Pinned {
+			pinned++
+		}
+	}
+	if want := tasks + 1; pinned > want {
+		t.Errorf("%d service tasks, %d of each step, pin %d VMs, want %d at most", steps*tasks, tasks, pinned, want)
+	}
+}
