--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -1,6 +1,7 @@
 package place
 
 import (
+	"math/rand/v2"
 	"testing"
 
 	"github.com/toucanhatch/toucanhatch/internal/work"
@@ -16,17 +17,13 @@
 	)
 	whole := work.Resources{CPU: 64000, Memory: 262144}
 	candidates := make([]Candidate, targets)
-	for i := range candidates {
-		candidates[i] = Candidate{Free: whole, Capacity: whole}
-		if i%2 == 0 { // half of the targets run other tasks
-			candidates[i].Free, candidates[i].Busy = whole.Minus(work.Resources{CPU: 40000, Memory: 100000}), true
-		}
-	}
+	random := rand.New(rand.NewPCG(1, 0))
 	task := Task{Need: work.Resources{CPU: 4000, Memory: 10000}, Service: true}
 	for step := range steps {
 		task.BestEffort = step%2 == 1
-		for i := range candidates {
-			candidates[i].SameStep = 0
+		for i := range candidates { // the other tasks of the targets have changed
+			other := work.Resources{CPU: work.Millicores(random.IntN(40000)), Memory: 100000}
+			candidates[i] = Candidate{Free: whole.Minus(other), Capacity: whole, Busy: true, Pinned: candidates[i].Pinned}
 		}
 		for range tasks {
 			k := Best(candidates, task)
@@ -35,7 +32,7 @@
 			}
 			candidates[k].Free = candidates[k].Free.Minus(task.Need)
 			candidates[k].SameStep++
-			candidates[k].Pinned, candidates[k].Busy = true, true
+			candidates[k].Pinned = true
 		}
 		for i := range candidates {
 			if got := candidates[i].SameStep; got > 1 {
