--- a/internal/jobs/steps_test.go
+++ b/internal/jobs/steps_test.go
@@ -299,3 +299,51 @@
 		t.Errorf("%d tasks start again although only an earlier incarnation has ended, want none", len(got))
 	}
 }
+
+// Guards against jobs that are lost to one target of a zone after the other when the zone has been cut off: each job that is
+// placed there waits until the lease of its target has expired.
+func TestSilentZoneGetsNoTasks(t *testing.T) {
+	h := newHarness(t, 0)
+	for i := range 6 {
+		id := work.TargetID(fmt.Sprintf("t%d", i))
+		h.pool.Register(h.now, work.Registration{
+			ID: id, Pool: "pool", Incarnation: 1000, Zone: ident.ZoneID(fmt.Sprintf("z%d", i/3)), Capacity: work.Resources{CPU: 16000, Memory: 65536},
+		})
+		h.deliverReport(id)
+	}
+	submit := func(id work.JobID) {
+		h.pool.Submit(h.now, id, testQueue, &work.Spec{Steps: []work.Step{{Count: 2, Need: work.Resources{CPU: 9000, Memory: 10}, Estimate: time.Second}}})
+	}
+	submit("0000000000000001")
+	h.pool.Plan(h.now)
+	_, write := h.pool.BeginWrite()
+	h.pool.MarkDurable(h.now, write)
+	silent := h.pool.TakeCommands()[0].(StartCommand)
+	h.now = h.now.Add(300 * time.Millisecond)
+	h.pool.HandleStartResult(h.now, silent.Target, silent.Task, silent.Attempt, StartNoResponse)
+	zone := h.pool.targets[silent.Target].Zone
+	asked := map[work.TargetID]bool{}
+	for _, cmd := range h.pool.TakeCommands() {
+		if request, ok := cmd.(ReportRequest); ok {
+			asked[request.Target] = true
+		}
+	}
+	submit("0000000000000002")
+	submit("0000000000000003")
+	for _, start := range h.planAndCarryOut() {
+		if h.pool.targets[start.Target].Zone == zone {
+			t.Errorf("a task is started on %s in the silent zone", start.Target)
+		}
+	}
+	if len(asked) != 2 {
+		t.Fatalf("targets %v of the zone are asked for a report, want the two others", asked)
+	}
+	for id := range asked {
+		h.deliverReport(id)
+	}
+	submit("0000000000000004")
+	started := h.planAndCarryOut()
+	if len(started) == 0 || !asked[started[0].Target] {
+		t.Errorf("started %+v once targets of the zone answered, want tasks on them", started)
+	}
+}
