shard: jobs behind an unanswered write are refused at once

Cause: jobs that came within 0.3 s after a write which then got no response waited behind it until their clients' time was over, and ended with 504 although nothing of them had left the process. A repeat of a job that is part of such a write was told that it had not run, and a repeat that waited for a refused write was told later that it was stored.

--- a/internal/jobs/target.go
+++ b/internal/jobs/target.go
@@ -12,8 +12,8 @@
 // target is what the pool knows about one target.
 type target struct {
 	work.Registration
-	registered          bool  // it is in the list of live targets
-	reportedIncarnation int64 // incarnation that last reported to the current owner; 0 if unknown
+	registered          bool           // it is in the list of live targets
+	reportedIncarnation int64          // incarnation that last reported to the current owner; 0 if unknown
 	lastHeard           time.Time      // last run report
 	lastAnswer          time.Time      // last response to a request for a run report or to a start command
 	reportRequestedAt   time.Time      // when the newest handled run report was requested
--- a/internal/shard/requests.go
+++ b/internal/shard/requests.go
@@ -32,14 +32,12 @@
 	reply := make(chan error, 1)
 	return s.call(ctx, reply, func(now time.Time) {
 		p := s.pool(queue.Pool)
-		if s.inFlight != nil && now.Sub(s.inFlight.startedAt) > maxWriteDelay {
-			if _, known := p.State(id, p.durable); !known {
-				p.NoteArrival(now, id, queue, spec)
-				reply <- ErrNotStored
-				return
-			}
+		if s.writeOverdue(now) && !p.Known(id) {
+			p.NoteArrival(now, id, queue, spec)
+			reply <- ErrNotStored
+			return
 		}
-		if p.Known(id) {
+		if p.Known(id) { // stored, or part of a write whose outcome is not known
 			s.replyWhenDurable(p, waiter{writeSeq: p.StoredBy(id), job: id, reply: reply})
 			return
 		}
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -309,6 +309,7 @@
 
 // tick does the work that depends on time alone.
 func (s *Shard) tick(now time.Time) {
+	s.refuseQueued(now)
 	for _, p := range s.pools {
 		s.refresh(now, p)
 		p.Tick(now)
--- a/internal/shard/shard_test.go
+++ b/internal/shard/shard_test.go
@@ -83,6 +83,44 @@
 	}
 }
 
+// Guards against clients that wait behind a write without a response until their time is over, and then hear that the outcome
+// is unknown, although nothing of their jobs was sent. Guards also against a refusal of a job that is part of that write.
+func TestJobsBehindUnansweredWriteAreRefused(t *testing.T) {
+	log := &fakes.Log{}
+	s := startShard(t, log, 1)
+	silent := make(chan struct{})
+	begun := make(chan struct{}, 100)
+	log.BeforeCall = func(call string, _ plog.TopicPartition) (bool, error) {
+		if call == "append" {
+			begun <- struct{}{}
+			<-silent
+		}
+		return true, nil
+	}
+	inFlight := make(chan error, 2)
+	submitFirst := func() { inFlight <- s.Submit(t.Context(), testQueue, "0000000000000001", testSpec) }
+	go submitFirst()
+	<-begun
+	if err := s.Submit(t.Context(), testQueue, "0000000000000002", testSpec); !errors.Is(err, ErrNotStored) {
+		t.Errorf("submit behind an unanswered write: %v, want %v", err, ErrNotStored)
+	}
+	go submitFirst() // a repeat
+	select {
+	case err := <-inFlight:
+		t.Errorf("submit in an unanswered write: %v, want no answer before its outcome is known", err)
+	case <-time.After(100 * time.Millisecond):
+	}
+	close(silent)
+	for range 2 {
+		if err := <-inFlight; err != nil {
+			t.Errorf("submit in a write that was answered late: %v", err)
+		}
+	}
+	if _, known, err := s.State(t.Context(), "p", "0000000000000002"); known || err != nil {
+		t.Errorf("the refused job is known: %v, error %v", known, err)
+	}
+}
+
 // Guards against jobs that are stored although their clients were told that they were not.
 func TestRefusedWriteStoresNothing(t *testing.T) {
 	log := &fakes.Log{}
--- a/internal/shard/write.go
+++ b/internal/shard/write.go
@@ -11,6 +11,7 @@
 	"github.com/toucanhatch/toucanhatch/internal/jobs"
 	"github.com/toucanhatch/toucanhatch/internal/panics"
 	"github.com/toucanhatch/toucanhatch/internal/plog"
+	"github.com/toucanhatch/toucanhatch/internal/work"
 )
 
 const (
@@ -171,16 +172,39 @@
 func (s *Shard) writeRefused(now time.Time, w *write) {
 	for p, records := range w.records {
 		writeSeq := w.writeSeqs[p]
-		for _, x := range p.waiters {
-			if x.writeSeq <= writeSeq && x.newJob {
-				p.Withdraw(now, x.job)
-			}
-		}
-		p.reply(func(x waiter) bool { return x.writeSeq <= writeSeq && x.newJob }, ErrNotStored)
+		p.withdraw(now, func(x waiter) bool { return x.writeSeq <= writeSeq })
 		p.RetryWrite(records)
 	}
 }
 
+// writeOverdue reports whether the write in flight has had no response for maxWriteDelay.
+func (s *Shard) writeOverdue(now time.Time) bool {
+	return s.inFlight != nil && now.Sub(s.inFlight.startedAt) > maxWriteDelay
+}
+
+// refuseQueued withdraws the jobs that wait for the write after the one in flight, if that is overdue. Nothing of them has left this process, so their clients may try again at once.
+func (s *Shard) refuseQueued(now time.Time) {
+	if !s.writeOverdue(now) {
+		return
+	}
+	for _, p := range s.pools {
+		begun := s.inFlight.writeSeqs[p]
+		p.withdraw(now, func(x waiter) bool { return x.writeSeq > begun })
+	}
+}
+
+// withdraw withdraws the new jobs of the waiting requests that match, and refuses all requests that wait for these jobs.
+func (p *pool) withdraw(now time.Time, match func(waiter) bool) {
+	withdrawn := map[work.JobID]bool{}
+	for _, x := range p.waiters {
+		if x.newJob && match(x) {
+			withdrawn[x.job] = true
+			p.Withdraw(now, x.job)
+		}
+	}
+	p.reply(func(x waiter) bool { return withdrawn[x.job] }, ErrNotStored)
+}
+
 // reply answers the waiters that match and removes them.
 func (p *pool) reply(match func(waiter) bool, err error) {
 	kept := p.waiters[:0]
