--- a/internal/jobs/event.go
+++ b/internal/jobs/event.go
@@ -24,6 +24,7 @@
 	EventRejected        EventKind = "rejected" // a target rejected a start command
 	EventStartUnanswered EventKind = "unsure"   // a start command got no response
 	EventSuspect         EventKind = "suspect"  // a run makes too little progress and is stopped
+	EventZoneSilent      EventKind = "zone does not answer"
 )
 
 // Event is one decision, with the facts that it is based on.
@@ -35,7 +36,7 @@
 	Attempt work.Attempt
 	Target  work.TargetID
 	Detail  string
-	Delay   time.Duration // accepted: expected wait; refused: when to retry; completed: time since acceptance
+	Delay   time.Duration // accepted: expected wait; refused: when to retry; completed: time since the first submission
 	// Objective is the time within which a completed job should have been completed; 0 if unknown.
 	Objective time.Duration
 }
--- a/internal/jobs/target.go
+++ b/internal/jobs/target.go
@@ -220,6 +220,7 @@
 			return
 		}
 	}
+	p.emit(Event{Kind: EventZoneSilent, Target: silent.ID, Detail: string(silent.Zone)})
 	for _, t := range p.sortedTargets() {
 		if t.Zone == silent.Zone && !t.unreachable {
 			t.unreachable = true
