Revert 'jobs: a silent zone gets no tasks'

Hypothesis: a zone that is cut off takes tasks for up to 2.7 s, since each of its targets is found silent by itself; if no target of a zone answers, none of them should get tasks.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -246,9 +246,6 @@
 	}
 }
 
-// RequestReport requests a run report now, besides the long poll.
-func (a *Agent) RequestReport() { a.refreshAfter(0) }
-
 // refreshAfter schedules a request for a run report after d, besides the long poll, so that the effect of a command is
 // known soon.
 func (a *Agent) refreshAfter(d time.Duration) {
--- a/internal/jobs/command.go
+++ b/internal/jobs/command.go
@@ -31,9 +31,6 @@
 	Percent int
 }
 
-// ReportRequest asks a target for a run report, besides the reports that it sends anyway.
-type ReportRequest struct{ Target work.TargetID }
-
 // AdviceRequest asks which targets may run a step. Its response goes to [Pool.HandleAdvice].
 type AdviceRequest struct {
 	Job        work.JobID
@@ -45,5 +42,4 @@
 func (StartCommand) isCommand()  {}
 func (StopCommand) isCommand()   {}
 func (PaceCommand) isCommand()   {}
-func (ReportRequest) isCommand() {}
 func (AdviceRequest) isCommand() {}
--- a/internal/jobs/event.go
+++ b/internal/jobs/event.go
@@ -24,7 +24,6 @@
 	EventRejected        EventKind = "rejected" // a target rejected a start command
 	EventStartUnanswered EventKind = "unsure"   // a start command got no response
 	EventSuspect         EventKind = "suspect"  // a run makes too little progress and is stopped
-	EventZoneSilent      EventKind = "zone does not answer"
 )
 
 // Event is one decision, with the facts that it is based on.
--- a/internal/jobs/run.go
+++ b/internal/jobs/run.go
@@ -202,9 +202,6 @@
 	if t == nil {
 		return
 	}
-	if result == StartOK {
-		t.lastAnswer = now
-	}
 	r := t.runs[runKey{task, attempt}]
 	if r == nil || (r.state != runStartSent && r.state != runStopping) {
 		return
@@ -217,7 +214,6 @@
 		return
 	case StartNoResponse:
 		if r.state == runStartSent {
-			p.markSilent(t, r.conclusiveSince)
 			r.state, r.conclusiveSince = runUnconfirmed, now
 		}
 		r.startMayArrive = true
--- a/internal/jobs/target.go
+++ b/internal/jobs/target.go
@@ -12,12 +12,11 @@
 // target is what the pool knows about one target.
 type target struct {
 	work.Registration
-	registered          bool           // it is in the list of live targets
-	reportedIncarnation int64          // incarnation that last reported to the current owner; 0 if unknown
-	lastHeard           time.Time      // last run report
-	lastAnswer          time.Time      // last response to a request for a run report or to a start command
+	registered          bool  // it is in the list of live targets
+	reportedIncarnation int64 // incarnation that last reported to the current owner; 0 if unknown
+	lastHeard           time.Time
 	reportRequestedAt   time.Time      // when the newest handled run report was requested
-	unreachable         bool           // it did not answer the last request, or no target in its zone answers
+	unreachable         bool           // it did not answer the last request
 	reserved            work.Resources // by its runs
 	runs                map[runKey]*run
 	orderedRuns         []*run          // the same runs, in the order in which they were assigned
@@ -210,25 +209,6 @@
 	}
 }
 
-// markSilent notes that a target did not answer a request that was sent at the given time. If no other target in its zone has
-// answered since, the zone may be cut off: each of its targets is asked for a report, and counts as unreachable until it
-// answers. Otherwise tasks would be lost to one silent target of the zone after the other.
-func (p *Pool) markSilent(silent *target, sent time.Time) {
-	silent.unreachable = true
-	for _, t := range p.targets {
-		if t.Zone == silent.Zone && !t.lastAnswer.Before(sent) {
-			return
-		}
-	}
-	p.emit(Event{Kind: EventZoneSilent, Target: silent.ID, Detail: string(silent.Zone)})
-	for _, t := range p.sortedTargets() {
-		if t.Zone == silent.Zone && !t.unreachable {
-			t.unreachable = true
-			p.commands = append(p.commands, ReportRequest{Target: t.ID})
-		}
-	}
-}
-
 // MarkLeaseExpired notes that the target's lease has expired, so that all its runs have certainly ended.
 func (p *Pool) MarkLeaseExpired(now time.Time, id work.TargetID) {
 	t := p.targets[id]
@@ -263,7 +243,7 @@
 		return // a later report has been handled; ends that only this one names are reported again
 	}
 	t.reportRequestedAt = report.RequestedAt
-	t.lastHeard, t.lastAnswer, t.unreachable = now, now, false
+	t.lastHeard, t.unreachable = now, false
 	if t.reportedIncarnation != report.Incarnation {
 		p.handleNewIncarnation(now, t, report.Incarnation)
 	}
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -373,11 +373,6 @@
 		id = cmd.Target
 	case jobs.PaceCommand:
 		id = cmd.Target
-	case jobs.ReportRequest:
-		if h := p.agents[cmd.Target]; h != nil {
-			h.RequestReport()
-		}
-		return
 	case jobs.AdviceRequest:
 		s.requestAdvice(p, cmd)
 		return
