jobs: random faults with a fleet controller that lists the VMs

The runs that end with their VMs get the same schedules as the others: crashes, restarts under the same id, cuts, takeovers with a former owner that still acts, late orders.

--- a/internal/jobs/sim_test.go
+++ b/internal/jobs/sim_test.go
@@ -80,6 +80,7 @@
 }
 
 type simulation struct {
+	faultOptions
 	t            *rapid.T
 	now          time.Time
 	targets      []*simTarget
@@ -89,12 +90,12 @@
 	fence        work.Fence
 	lossPercent  int // of the targets' responses that are lost
 	delayPercent int // of the commands that are carried out seconds later
-	maxLag       int // an owner's events are delayed by fewer steps than this
 	storeUp      bool
 	rand         func(n int) int
 
 	done         map[work.TaskID]bool     // an end with EndDone was acknowledged
 	canceled     map[work.JobID]time.Time // when the cancellation became durable
+	listedDown   map[work.TargetID]int64  // targets listed as down, with the incarnations that the owner reported then
 	accepted     map[work.JobID]*work.Spec
 	withdrawn    map[work.JobID]bool
 	failuresLeft map[work.TaskID]int
@@ -121,7 +122,7 @@
 	s := &simulation{
 		t: t, now: time.Unix(1_700_000_000, 0), store: map[work.JobID][]byte{}, storeUp: true,
 		done: map[work.TaskID]bool{}, canceled: map[work.JobID]time.Time{}, accepted: map[work.JobID]*work.Spec{},
-		withdrawn: map[work.JobID]bool{}, failuresLeft: map[work.TaskID]int{},
+		withdrawn: map[work.JobID]bool{}, listedDown: map[work.TargetID]int64{}, failuresLeft: map[work.TaskID]int{},
 	}
 	state := seed | 1
 	s.rand = func(n int) int { // xorshift, which gives the same sequence for the same seed
@@ -227,6 +228,9 @@
 			s.runOwner(o)
 		}
 	}
+	if s.listsVMs {
+		s.listDown()
+	}
 	s.check()
 }
 
@@ -545,6 +549,22 @@
 	}
 }
 
+// listDown lets the fleet controller list the VMs and tell the owner which incarnations have ended with theirs.
+func (s *simulation) listDown() {
+	for _, t := range s.targets {
+		reported, listed := s.listedDown[t.id]
+		switch {
+		case t.up:
+			delete(s.listedDown, t.id)
+		case listed:
+			s.owner.pool.handleDown(s.now, map[work.TargetID]int64{t.id: reported})
+			delete(s.listedDown, t.id)
+		case s.owner.pool.targets[t.id] != nil:
+			s.listedDown[t.id] = s.owner.pool.targets[t.id].newestIncarnation()
+		}
+	}
+}
+
 // check checks the invariants that must hold at any time.
 func (s *simulation) check() {
 	for id, b := range s.store {
@@ -648,17 +668,33 @@
 // outages of the store, and cancellations. It guards against two runs of one
 // task, overcommitted targets, starts of finished, canceled or unknown tasks,
 // and accepted jobs that are lost.
-func TestRandomFaults(t *testing.T) { runRandomFaults(t, 0) }
+func TestRandomFaults(t *testing.T) { runRandomFaults(t, faultOptions{}) }
 
 // TestRandomFaultsLaggingOwner does the same with an overloaded owner: its commands leave late, and it handles responses and
 // run reports with a delay of up to a second. Overloaded owners have violated limits in long runs.
-func TestRandomFaultsLaggingOwner(t *testing.T) { runRandomFaults(t, 10) }
+func TestRandomFaultsLaggingOwner(t *testing.T) { runRandomFaults(t, faultOptions{maxLag: 10}) }
+
+// TestRandomFaultsListedVMs does the same with a fleet controller that tells the owner which VMs are down.
+func TestRandomFaultsListedVMs(t *testing.T) {
+	runRandomFaults(t, faultOptions{listsVMs: true})
+}
+
+// TestRandomFaultsListedVMsLaggingOwner does the same with an overloaded owner.
+func TestRandomFaultsListedVMsLaggingOwner(t *testing.T) {
+	runRandomFaults(t, faultOptions{maxLag: 10, listsVMs: true})
+}
+
+// faultOptions are what the tests with random faults differ in.
+type faultOptions struct {
+	maxLag   int  // an owner's events are delayed by fewer steps than this
+	listsVMs bool // the fleet controller tells the owner which VMs are down
+}
 
-func runRandomFaults(t *testing.T, lag int) {
+func runRandomFaults(t *testing.T, options faultOptions) {
 	t.Helper()
 	rapid.Check(t, func(t *rapid.T) {
 		s := newSimulation(t, rapid.Uint64().Draw(t, "seed"))
-		s.maxLag = lag
+		s.faultOptions = options
 		for i := range 12 {
 			id := work.JobID(fmt.Sprintf("%016x", i+1))
 			spec := &work.Spec{Steps: []work.Step{
