Name runs and waiting requests by what they are

latencySensitiveRuns and serviceRuns of a target, LatencySensitive of a candidate, refuseWaiting of a pool's requests (beside the pool's Withdraw). No change of behavior.

--- a/internal/jobs/run.go
+++ b/internal/jobs/run.go
@@ -120,10 +120,10 @@
 	case s.BestEffort:
 		t.bestEffortRuns += n
 	case s.LatencyObjective > 0:
-		t.sensitiveRuns += n
+		t.latencySensitiveRuns += n
 	}
 	if s.Service {
-		t.pinningRuns += n
+		t.serviceRuns += n
 		t.serviceCPU += work.Millicores(n) * reservation(s).CPU
 	}
 }
--- a/internal/jobs/target.go
+++ b/internal/jobs/target.go
@@ -12,30 +12,30 @@
 // target is what the pool knows about one target.
 type target struct {
 	work.Registration
-	registered          bool  // it is in the list of live targets
-	reportedIncarnation int64 // incarnation that last reported to the current owner; 0 if unknown
-	lastHeard           time.Time
-	reportRequestedAt   time.Time      // when the newest handled run report was requested
-	unreachable         bool           // it did not answer the last request
-	reserved            work.Resources // by its runs
-	runs                map[runKey]*run
-	orderedRuns         []*run          // the same runs, in the order in which they were assigned
-	serviceCPU          work.Millicores // reserved by service tasks
-	sensitiveRuns       int             // runs of latency-sensitive tasks that are not best-effort
-	bestEffortRuns      int             // runs of best-effort tasks
-	pinningRuns         int             // runs of service tasks, best-effort or not
-	candidate           int             // index in the current candidate set; -1 if it is not a candidate
-	cordon              CordonReason
-	idleSince           time.Time
-	backoffUntil        time.Time           // the target gets no new tasks before this time
-	lastEndSeq          int64               // number of the last handled run end
-	recentlyEnded       map[runKey]struct{} // runs of this incarnation
-	recentlyEndedOrder  []endedRun          // the same runs, in the order in which their ends were reported
-	unansweredStarts    []unansweredStart   // start commands of detached runs that may still arrive
-	pendingAcks         []pendingAck
-	hasUnacked          bool  // it is in Pool.unackedTargets
-	ackedSeq            int64 // the ends up to this one may be acknowledged
-	health              health.Tracker
+	registered           bool  // it is in the list of live targets
+	reportedIncarnation  int64 // incarnation that last reported to the current owner; 0 if unknown
+	lastHeard            time.Time
+	reportRequestedAt    time.Time      // when the newest handled run report was requested
+	unreachable          bool           // it did not answer the last request
+	reserved             work.Resources // by its runs
+	runs                 map[runKey]*run
+	orderedRuns          []*run          // the same runs, in the order in which they were assigned
+	serviceCPU           work.Millicores // reserved by service tasks
+	latencySensitiveRuns int             // runs of latency-sensitive tasks that are not best-effort
+	bestEffortRuns       int             // runs of best-effort tasks
+	serviceRuns          int             // runs of service tasks, best-effort or not
+	candidate            int             // index in the current candidate set; -1 if it is not a candidate
+	cordon               CordonReason
+	idleSince            time.Time
+	backoffUntil         time.Time           // the target gets no new tasks before this time
+	lastEndSeq           int64               // number of the last handled run end
+	recentlyEnded        map[runKey]struct{} // runs of this incarnation
+	recentlyEndedOrder   []endedRun          // the same runs, in the order in which their ends were reported
+	unansweredStarts     []unansweredStart   // start commands of detached runs that may still arrive
+	pendingAcks          []pendingAck
+	hasUnacked           bool  // it is in Pool.unackedTargets
+	ackedSeq             int64 // the ends up to this one may be acknowledged
+	health               health.Tracker
 }
 
 // CordonReason is the reason why a target gets no new tasks.
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -9,19 +9,19 @@
 
 // Candidate is a target that may get a task.
 type Candidate struct {
-	ID         work.TargetID
-	Free       work.Resources
-	Capacity   work.Resources
-	Rack       string
-	Zone       ident.ZoneID
-	Labels     []string
-	SameStep   int  // tasks of the step that it already runs
-	Sensitive  int  // latency-sensitive tasks that it runs
-	BestEffort int  // best-effort tasks that it runs
-	Pinned     bool // runs a service task, so that its VM can't be lent to another pool
-	Draining   bool // will leave the pool soon
-	Suspect    bool // gets one task at a time
-	Busy       bool // runs at least one task
+	ID               work.TargetID
+	Free             work.Resources
+	Capacity         work.Resources
+	Rack             string
+	Zone             ident.ZoneID
+	Labels           []string
+	SameStep         int  // tasks of the step that it already runs
+	LatencySensitive int  // latency-sensitive tasks that it runs
+	BestEffort       int  // best-effort tasks that it runs
+	Pinned           bool // runs a service task, so that its VM can't be lent to another pool
+	Draining         bool // will leave the pool soon
+	Suspect          bool // gets one task at a time
+	Busy             bool // runs at least one task
 }
 
 // Task holds the properties of a task that determine its place.
@@ -104,7 +104,7 @@
 		}
 	}
 	if t.BestEffort {
-		s += interferenceCost * float64(c.Sensitive)
+		s += interferenceCost * float64(c.LatencySensitive)
 	}
 	if t.LatencySensitive {
 		s += interferenceCost * float64(c.BestEffort)
--- a/internal/plog/repeat.go
+++ b/internal/plog/repeat.go
@@ -59,7 +59,6 @@
 			go a.attempt(ctx, results, to, w, records)
 			next.Stop()
 			next = schedule(repeatInterval)
-			continue
 		case err := <-results:
 			inFlight--
 			var seq *SeqError
--- a/internal/shard/write.go
+++ b/internal/shard/write.go
@@ -172,7 +172,7 @@
 func (s *Shard) writeRefused(now time.Time, w *write) {
 	for p, records := range w.records {
 		writeSeq := w.writeSeqs[p]
-		p.withdraw(now, func(x waiter) bool { return x.writeSeq <= writeSeq })
+		p.refuseWaiting(now, func(x waiter) bool { return x.writeSeq <= writeSeq })
 		p.RetryWrite(records)
 	}
 }
@@ -189,12 +189,12 @@
 	}
 	for _, p := range s.pools {
 		begun := s.inFlight.writeSeqs[p]
-		p.withdraw(now, func(x waiter) bool { return x.writeSeq > begun })
+		p.refuseWaiting(now, func(x waiter) bool { return x.writeSeq > begun })
 	}
 }
 
-// withdraw withdraws the new jobs of the waiting requests that match, and refuses all requests that wait for these jobs.
-func (p *pool) withdraw(now time.Time, match func(waiter) bool) {
+// refuseWaiting withdraws the new jobs of the waiting requests that match, and refuses all requests that wait for these jobs.
+func (p *pool) refuseWaiting(now time.Time, match func(waiter) bool) {
 	withdrawn := map[work.JobID]bool{}
 	for _, x := range p.waiters {
 		if x.newJob && match(x) {
