--- a/internal/place/doc.go
+++ b/internal/place/doc.go
@@ -2,7 +2,9 @@
 //
 // Tasks that end go where they leave the fewest resources unused, near their
 // data, so that large tasks still find a target. Service tasks, which run until
-// their job is canceled, are spread, so that the loss of a target takes few of
-// them. Best-effort tasks, which take only CPU time that other tasks leave
-// unused, go where they disturb the fewest service tasks.
+// their job is canceled, are spread by step, so that the loss of a target takes
+// few of a step, but over targets that run service tasks already, so that the VMs
+// of the others can be lent to other pools. Best-effort tasks, which take only CPU
+// time that other tasks leave unused, go where they disturb the fewest
+// latency-sensitive tasks.
 package place
--- a/internal/rank/plan.go
+++ b/internal/rank/plan.go
@@ -56,12 +56,12 @@
 	if p.cores <= 0 {
 		return
 	}
-	var candidates cpuTimeHeap
+	var candidates jobHeap
 	total := time.Duration(0)
 	for _, i := range p.byTimeLeft(ClassOnTime) {
 		total += p.jobs[i].CPUTime
 		if !p.jobs[i].Started {
-			heap.Push(&candidates, heapItem{i, p.jobs[i].CPUTime})
+			p.pushByCPUTime(&candidates, i)
 		}
 		for len(candidates) > 0 && p.exceeds(total, p.jobs[i].timeLeft(ClassOnTime)) {
 			total -= p.downgradeLargest(&candidates, ClassLate)
@@ -75,7 +75,7 @@
 	if p.cores <= 0 {
 		return
 	}
-	var candidates cpuTimeHeap
+	var candidates jobHeap
 	total := time.Duration(0)
 	for i := range p.jobs {
 		if p.class[i] == ClassOnTime {
@@ -84,7 +84,7 @@
 	}
 	for _, i := range p.byTimeLeft(ClassLate) {
 		total += p.jobs[i].CPUTime
-		heap.Push(&candidates, heapItem{i, p.jobs[i].CPUTime})
+		p.pushByCPUTime(&candidates, i)
 		for len(candidates) > 0 && p.exceeds(total, p.jobs[i].timeLeft(ClassLate)) {
 			total -= p.downgradeLargest(&candidates, ClassExpired)
 		}
@@ -98,40 +98,45 @@
 	if p.cores <= 0 {
 		return
 	}
-	var pending timeLeftHeap
+	var pending jobHeap // by the time that is left
 	for _, c := range []Class{ClassOnTime, ClassLate} {
 		for _, i := range p.byTimeLeft(c) {
-			heap.Push(&pending, pendingItem{i, p.jobs[i].timeLeft(c)})
+			heap.Push(&pending, heapItem{i, p.jobs[i].timeLeft(c)})
 		}
 	}
-	var onTime, late cpuTimeHeap
+	var onTime, late jobHeap
 	total := time.Duration(0)
 	for len(pending) > 0 {
-		next := heap.Pop(&pending).(pendingItem)
+		next := heap.Pop(&pending).(heapItem)
 		job := &p.jobs[next.index]
 		total += job.CPUTime
 		if p.class[next.index] == ClassLate {
-			heap.Push(&late, heapItem{next.index, job.CPUTime})
+			p.pushByCPUTime(&late, next.index)
 		} else if !job.Started {
-			heap.Push(&onTime, heapItem{next.index, job.CPUTime})
+			p.pushByCPUTime(&onTime, next.index)
 		}
-		for len(onTime)+len(late) > 0 && p.exceeds(total, next.timeLeft) {
+		for len(onTime)+len(late) > 0 && p.exceeds(total, next.key) {
 			if len(onTime) == 0 {
 				total -= p.downgradeLargest(&late, ClassExpired)
 				continue
 			}
 			postponed := onTime[0].index
 			total -= p.downgradeLargest(&onTime, ClassLate)
-			heap.Push(&pending, pendingItem{postponed, p.jobs[postponed].timeLeft(ClassLate)})
+			heap.Push(&pending, heapItem{postponed, p.jobs[postponed].timeLeft(ClassLate)})
 		}
 	}
 }
 
-// downgradeLargest removes the job with the most CPU time from the heap, moves it to class c, and returns its CPU time.
-func (p *plan) downgradeLargest(h *cpuTimeHeap, c Class) time.Duration {
-	largest := heap.Pop(h).(heapItem)
-	p.class[largest.index] = c
-	return largest.cpuTime
+// pushByCPUTime pushes a job onto a heap that has the one with the most CPU time on top.
+func (p *plan) pushByCPUTime(h *jobHeap, index int) {
+	heap.Push(h, heapItem{index, -p.jobs[index].CPUTime})
+}
+
+// downgradeLargest removes the job with the most CPU time from a heap, moves it to class c, and returns its CPU time.
+func (p *plan) downgradeLargest(h *jobHeap, c Class) time.Duration {
+	largest := heap.Pop(h).(heapItem).index
+	p.class[largest] = c
+	return p.jobs[largest].CPUTime
 }
 
 // order returns the jobs in the order in which they get resources.
@@ -168,46 +173,23 @@
 	}
 }
 
-// timeLeftHeap is a heap of jobs with the one that has the least time left on top.
-type timeLeftHeap []pendingItem
-
-type pendingItem struct {
-	index    int
-	timeLeft time.Duration
-}
-
-func (h timeLeftHeap) Len() int           { return len(h) }
-func (h timeLeftHeap) Less(i, j int) bool { return h[i].timeLeft < h[j].timeLeft }
-func (h timeLeftHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
-
-// Push implements heap.Interface.
-func (h *timeLeftHeap) Push(x any) { *h = append(*h, x.(pendingItem)) }
-
-// Pop implements heap.Interface.
-func (h *timeLeftHeap) Pop() any {
-	old := *h
-	x := old[len(old)-1]
-	*h = old[:len(old)-1]
-	return x
-}
-
-// cpuTimeHeap is a heap of jobs with the one that needs the most CPU time on top.
-type cpuTimeHeap []heapItem
+// jobHeap is a heap of jobs with the one that has the lowest key on top.
+type jobHeap []heapItem
 
 type heapItem struct {
-	index   int
-	cpuTime time.Duration
+	index int
+	key   time.Duration
 }
 
-func (h cpuTimeHeap) Len() int           { return len(h) }
-func (h cpuTimeHeap) Less(i, j int) bool { return h[i].cpuTime > h[j].cpuTime }
-func (h cpuTimeHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+func (h jobHeap) Len() int           { return len(h) }
+func (h jobHeap) Less(i, j int) bool { return h[i].key < h[j].key }
+func (h jobHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
 
 // Push implements heap.Interface.
-func (h *cpuTimeHeap) Push(x any) { *h = append(*h, x.(heapItem)) }
+func (h *jobHeap) Push(x any) { *h = append(*h, x.(heapItem)) }
 
 // Pop implements heap.Interface.
-func (h *cpuTimeHeap) Pop() any {
+func (h *jobHeap) Pop() any {
 	old := *h
 	x := old[len(old)-1]
 	*h = old[:len(old)-1]
