Tests: attempts of an append overlap; the write of many jobs is set up, not hoped for

The log of the test counted its appends without a lock; since the change of plog, attempts overlap. Now an atomic counter. - TestRefusalAfterStoredChunkWithdrawsNothing: '2 appends, so none was refused'. The first write took so many of the 300 jobs that the others fit into one append.

--- a/internal/ctrl/takeover_test.go
+++ b/internal/ctrl/takeover_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -85,14 +86,14 @@
 type partitionedLog struct {
 	plog.Log
 	stored, reconnected chan struct{}
-	writes              int
+	writes              atomic.Int32 // attempts of an append overlap
 }
 
 func (l *partitionedLog) Append(ctx context.Context, to plog.TopicPartition, w plog.Writer, records []plog.Record) error {
 	if len(records) == 0 {
 		return l.Log.Append(ctx, to, w, records)
 	}
-	if l.writes++; l.writes == 1 {
+	if l.writes.Add(1) == 1 {
 		defer close(l.stored)
 		_ = l.Log.Append(ctx, to, w, records) // the response is lost
 		return plog.ErrNoResponse
--- a/internal/shard/shard_test.go
+++ b/internal/shard/shard_test.go
@@ -192,17 +192,31 @@
 // Guards against jobs that are refused although they are stored: a write takes several
 // appends, and a later one is refused after an earlier one was stored.
 func TestRefusalAfterStoredChunkWithdrawsNothing(t *testing.T) {
+	const attempts = 20
+	for range attempts {
+		if submitManyRefusingThirdAppend(t) {
+			return
+		}
+	}
+	t.Fatalf("no append was refused in %d attempts", attempts)
+}
+
+// submitManyRefusingThirdAppend submits jobs that need more than one append and compares the responses with what is stored.
+// It reports whether an append was refused: usually the second one of a write, unless many jobs came too late for that write.
+func submitManyRefusingThirdAppend(t *testing.T) (refused bool) {
+	t.Helper()
 	const count = 300 // their payloads need more than one append
 	log := &fakes.Log{}
 	s := startShard(t, log, 1)
 	var calls atomic.Int32
-	allSubmitted := make(chan struct{})
+	begun, allSubmitted := make(chan struct{}), make(chan struct{})
 	log.BeforeCall = func(call string, _ plog.TopicPartition) (bool, error) {
 		if call != "append" {
 			return true, nil
 		}
 		switch calls.Add(1) {
 		case 1:
+			close(begun)
 			<-allSubmitted // the jobs submitted meanwhile share the next write
 		case 3:
 			return false, plog.ErrRefused
@@ -215,6 +229,9 @@
 	var wg sync.WaitGroup
 	for i := range count {
 		wg.Go(func() { results[i] = s.Submit(t.Context(), testQueue, work.JobID(fmt.Sprintf("%016x", i+1)), &spec) })
+		if i == 0 {
+			<-begun
+		}
 	}
 	time.Sleep(100 * time.Millisecond) // most of the jobs are in the mailbox or accepted
 	close(allSubmitted)
@@ -236,9 +253,7 @@
 			t.Fatalf("job %s: submit returned %v, stored %v", id, err, stored[id])
 		}
 	}
-	if got := calls.Load(); got < 3 {
-		t.Fatalf("%d appends, so none was refused", got)
-	}
+	return calls.Load() >= 3
 }
 
 // Guards against a panic in one partition's owner that ends the process, or that leaves requests without an answer. The
