jobd: logs tell how old an entry's configuration was

A 404 left no line in the logs, and 'configuration applied' didn't tell whether the record had just been written or was read late.

The watcher keeps when its latest answered read was sent. A request that matches no queue is logged with the version and the time since the version was known to be the newest; so are new versions and regained reads. The operators' records move from daemon.go into configuration.go.

--- a/internal/jobd/daemon.go
+++ b/internal/jobd/daemon.go
@@ -23,7 +23,6 @@
 	"github.com/toucanhatch/toucanhatch/internal/maint"
 	"github.com/toucanhatch/toucanhatch/internal/panics"
 	"github.com/toucanhatch/toucanhatch/internal/plog"
-	"github.com/toucanhatch/toucanhatch/internal/route"
 	"github.com/toucanhatch/toucanhatch/internal/shard"
 	"github.com/toucanhatch/toucanhatch/internal/watch"
 	"github.com/toucanhatch/toucanhatch/internal/work"
@@ -51,8 +50,6 @@
 	groupName = "toucanhatch"
 	// membershipTTL is how long a partition stays assigned to a killed owner. The platform accepts no less than its min_ttl.
 	membershipTTL = 1200 * time.Millisecond
-	// configReadWait is how long one read waits for a new record of the operators.
-	configReadWait = 2 * time.Second
 	// targetsReadWait is how long one read waits for a registration, and targetsReadPause the time between two reads.
 	// Registrations arrive in every tenth of a second, so the pause limits the number of reads; a VM that joins a pool
 	// becomes known that much later.
@@ -140,7 +137,7 @@
 func (d *Daemon) startBackground(ctx context.Context, wg *sync.WaitGroup) {
 	d.targetWatcher = d.newTargetWatcher()
 	loops := map[string]func(context.Context){
-		"settings": d.watchSettings, "configuration": d.newConfigWatcher().Run, "registrations": d.targetWatcher.Run,
+		"settings": d.watchSettings, "configuration": d.service.Config.Run, "registrations": d.targetWatcher.Run,
 		"owners": d.owners.Run, "reach": d.service.watchConnectivity, "wall clock": d.service.watchWallClock,
 	}
 	if d.Settings.MetricsAddress != "" {
@@ -198,6 +195,8 @@
 	}
 	d.member.Init()
 	d.service = &Service{Partitions: s.Log.Partitions, PeerAddress: s.PeerAddress, Zone: s.Zone, Member: d.member, Owners: d.owners, PeerClient: peerClient, Clock: d.Clock, Logger: d.Logger}
+	d.service.Config = &configuration{Platform: p, SetWave: d.service.setWave, Clock: d.Clock, Logger: d.Logger}
+	d.service.Config.init()
 	d.standby = &standby{
 		Log: p.Log, PeerAddress: s.PeerAddress, CPU: s.CPU(), PeerClient: d.service.PeerClient, Owners: d.owners, Partitions: s.Log.Partitions, Clock: d.Clock, Logger: d.Logger,
 	}
@@ -232,7 +231,7 @@
 
 // serveReadiness tells the load balancer whether this daemon can serve clients.
 func (d *Daemon) serveReadiness(w http.ResponseWriter, r *http.Request) {
-	if d.stopping.Load() || d.service.routes.Load() == nil || !d.owners.Loaded() || !d.service.CheckConnected(r.Context()) {
+	if d.stopping.Load() || d.service.Config.Table() == nil || !d.owners.Loaded() || !d.service.CheckConnected(r.Context()) {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -261,43 +260,6 @@
 // notifyTimeout bounds a notification. Daemons that miss it learn of the change with their next join.
 const notifyTimeout = 300 * time.Millisecond
 
-func (d *Daemon) newConfigWatcher() *watch.Watcher {
-	apply := func(r plog.Record) {
-		if d.Platform.IsWaveKey(r.Key) && len(r.Value) > 0 {
-			w, err := d.Platform.DecodeWave(r.Value)
-			if err != nil {
-				d.Logger.Error("cannot decode a wave", "key", r.Key, "error", err)
-				return
-			}
-			d.service.setWave(w)
-			return
-		}
-		if r.Key != d.Platform.ConfigKey || len(r.Value) == 0 {
-			return
-		}
-		c, err := d.Platform.DecodeConfig(r.Value)
-		if err != nil {
-			d.Logger.Error("cannot decode the configuration; the previous one stays in use", "error", err)
-			return
-		}
-		old := d.service.routes.Load()
-		if old != nil && c.Version <= old.Version {
-			return
-		}
-		d.service.routes.Store(route.New(c))
-		d.Logger.Info("configuration applied", "version", c.Version, "routes", len(c.Routes), "pools", len(c.Pools))
-	}
-	return &watch.Watcher{
-		Log: d.Platform.Log, Partition: d.Platform.OperatorPartition, ReadWait: configReadWait, Clock: d.Clock, Logger: d.Logger,
-		Replace: func(records []plog.Record) {
-			for _, r := range records {
-				apply(r)
-			}
-		},
-		Apply: apply,
-	}
-}
-
 func (d *Daemon) newTargetWatcher() *watch.Watcher {
 	w := &watch.Watcher{
 		Log: d.Platform.Log, Partition: d.Platform.TargetsPartition, ReadWait: targetsReadWait, ReadPause: targetsReadPause, Enabled: d.member.OwnsAny,
--- a/internal/jobd/service.go
+++ b/internal/jobd/service.go
@@ -16,7 +16,6 @@
 	"github.com/toucanhatch/toucanhatch/internal/jobs"
 	"github.com/toucanhatch/toucanhatch/internal/link"
 	"github.com/toucanhatch/toucanhatch/internal/plog"
-	"github.com/toucanhatch/toucanhatch/internal/route"
 	"github.com/toucanhatch/toucanhatch/internal/shard"
 	"github.com/toucanhatch/toucanhatch/internal/sizer"
 	"github.com/toucanhatch/toucanhatch/internal/work"
@@ -59,11 +58,11 @@
 	Zone        ident.ZoneID
 	Member      *group.Member
 	Owners      *ownerTable
+	Config      *configuration
 	PeerClient  *link.Client
 	Clock       clock.Clock
 	Logger      hclog.Logger
 
-	routes          atomic.Pointer[route.Table]
 	ownersReachedAt atomic.Int64 // Unix nanoseconds of Clock when the last successful ping of the owners was sent
 	wallClock       wallClock
 	isolated        atomic.Bool // by the last check, neither the log nor enough owners answer
@@ -248,7 +247,7 @@
 
 // Configured implements ctrl.Pools.
 func (s *Service) Configured() []work.PoolConfig {
-	if t := s.routes.Load(); t != nil {
+	if t := s.Config.Table(); t != nil {
 		return t.Pools
 	}
 	return nil
@@ -276,12 +275,13 @@
 
 // findQueue returns the queue that the host and path of a request select, and the rest of the path.
 func (s *Service) findQueue(host, path string) (work.Queue, string, error) {
-	t := s.routes.Load()
+	t := s.Config.Table()
 	if t == nil {
 		return work.Queue{}, "", ErrNoConfig
 	}
 	q, rest, ok := t.Find(host, path)
 	if !ok {
+		s.Logger.Info("no queue matches the request", "host", host, "path", path, "version", t.Version, "unconfirmed", s.Config.Age())
 		return work.Queue{}, "", ErrNoQueue
 	}
 	return q, rest, nil
@@ -295,7 +295,7 @@
 
 // MaxBody returns the maximum size of a request body; 0 means that there is no limit.
 func (s *Service) MaxBody() int64 {
-	if t := s.routes.Load(); t != nil {
+	if t := s.Config.Table(); t != nil {
 		return t.MaxBody
 	}
 	return 0
--- a/internal/jobd/shards.go
+++ b/internal/jobd/shards.go
@@ -58,7 +58,7 @@
 }
 
 func (d *Daemon) queues() []work.Queue {
-	if t := d.service.routes.Load(); t != nil {
+	if t := d.service.Config.Table(); t != nil {
 		return t.Queues
 	}
 	return nil
--- a/internal/watch/watcher.go
+++ b/internal/watch/watcher.go
@@ -40,10 +40,11 @@
 	Clock   clock.Clock
 	Logger  hclog.Logger
 
-	offset  ident.Offset
-	synced  atomic.Bool
-	failing bool
-	wake    chan struct{}
+	offset      ident.Offset
+	synced      atomic.Bool
+	confirmedAt atomic.Int64 // Unix nanoseconds of Clock; 0 before the first answer
+	failing     bool
+	wake        chan struct{}
 }
 
 // Init prepares the watcher; without it, [Watcher.Wake] has no effect.
@@ -57,6 +58,15 @@
 	}
 }
 
+// ConfirmedAt returns when the latest read with an answer was sent: what the log had confirmed to its writers before then
+// has been processed. It is zero before the first answer.
+func (w *Watcher) ConfirmedAt() time.Time {
+	if at := w.confirmedAt.Load(); at != 0 {
+		return time.Unix(0, at)
+	}
+	return time.Time{}
+}
+
 // awaitWake waits for a call of Wake, for enabledPollPeriod at most.
 func (w *Watcher) awaitWake(ctx context.Context) {
 	waitCtx, cancel := context.WithTimeout(ctx, enabledPollPeriod)
@@ -75,6 +85,7 @@
 			w.awaitWake(ctx)
 			continue
 		}
+		previous := w.ConfirmedAt()
 		err := w.readOnce(ctx)
 		if ctx.Err() != nil {
 			return
@@ -86,7 +97,7 @@
 				w.Logger.Warn("cannot read from the log; retrying", "topic", w.Partition.Topic, "error", err)
 			}
 		} else if w.failing {
-			w.Logger.Info("reading from the log again", "topic", w.Partition.Topic)
+			w.Logger.Info("reading from the log again", "topic", w.Partition.Topic, "unconfirmed", w.ConfirmedAt().Sub(previous))
 		}
 		w.failing = err != nil
 		if pause > 0 {
@@ -109,6 +120,7 @@
 	}
 	callCtx, cancel := context.WithTimeout(ctx, w.ReadWait+callMargin)
 	defer cancel()
+	sent := w.Clock.Now()
 	records, next, err := w.Log.Read(callCtx, w.Partition, w.offset, w.ReadWait)
 	var trimmed *plog.TrimmedError
 	if errors.As(err, &trimmed) {
@@ -120,6 +132,7 @@
 		return err
 	}
 	w.offset = next
+	defer w.confirmedAt.Store(sent.UnixNano())
 	for _, r := range records {
 		panics.Catch(w.Logger.With("key", r.Key), "record of "+string(w.Partition.Topic), func() { w.Apply(r) })
 	}
@@ -131,6 +144,7 @@
 func (w *Watcher) resync(ctx context.Context) error {
 	var all []plog.Record
 	after, end, first := "", ident.Offset(0), true
+	sent := w.Clock.Now()
 	for {
 		callCtx, cancel := context.WithTimeout(ctx, callMargin)
 		page, err := w.Log.Newest(callCtx, w.Partition, after)
@@ -149,6 +163,7 @@
 	}
 	w.Replace(all)
 	w.offset = end
+	w.confirmedAt.Store(sent.UnixNano())
 	w.synced.Store(true)
 	return nil
 }
