watch: an unanswered read delays no record beyond its time

Cause: a read of the configuration waited 3.2 s for its answer, and nothing else read the configuration meanwhile. The log never answers what was sent before it came back, or on a connection that the network has lost track of, so records confirmed in that time were applied up to 3.4 s late. The wait of a long poll alone, 2 s, was the whole bound: a long poll that missed its record used it up.

Change: a watcher has the time within which a record has to be applied. A read waits a quarter of it for a record; without an answer it is repeated after half of it, and after each further quarter, on other connections, without a wait. Attempts overlap, so a slow log is still read. The times come from the bounds of the platform (bounds.config_apply, bounds.drain). The registrations of targets are read the same way: a leaving target was known up to 2.5 s late, with 2 s allowed.

TestUnansweredReadDelaysNoRecord failed on the code before: applied 3.40 s after its confirmation, want at most 2 s.

--- a/internal/jobd/configuration.go
+++ b/internal/jobd/configuration.go
@@ -14,15 +14,14 @@
 	"github.com/toucanhatch/toucanhatch/internal/work"
 )
 
-// configReadWait is how long one read waits for a new record of the operators.
-const configReadWait = 2 * time.Second
-
 // configuration follows what the operators publish: the configuration and the waves. Call init before the first use.
 type configuration struct {
 	Platform *Platform
-	SetWave  func(work.Wave)
-	Clock    clock.Clock
-	Logger   hclog.Logger
+	// ApplyWithin is the time in which a confirmed configuration is in force here.
+	ApplyWithin time.Duration
+	SetWave     func(work.Wave)
+	Clock       clock.Clock
+	Logger      hclog.Logger
 
 	table   atomic.Pointer[route.Table] // nil until a configuration has been read
 	watcher *watch.Watcher
@@ -30,7 +29,7 @@
 
 func (c *configuration) init() {
 	c.watcher = &watch.Watcher{
-		Log: c.Platform.Log, Partition: c.Platform.OperatorPartition, ReadWait: configReadWait, Clock: c.Clock, Logger: c.Logger,
+		Log: c.Platform.Log, Partition: c.Platform.OperatorPartition, ApplyWithin: c.ApplyWithin, Clock: c.Clock, Logger: c.Logger,
 		Replace: func(records []plog.Record) {
 			for _, r := range records {
 				c.apply(r)
--- a/internal/jobd/daemon.go
+++ b/internal/jobd/daemon.go
@@ -50,10 +50,8 @@
 	groupName = "toucanhatch"
 	// membershipTTL is how long a partition stays assigned to a killed owner. The platform accepts no less than its min_ttl.
 	membershipTTL = 1200 * time.Millisecond
-	// targetsReadWait is how long one read waits for a registration, and targetsReadPause the time between two reads.
-	// Registrations arrive in every tenth of a second, so the pause limits the number of reads; a VM that joins a pool
-	// becomes known that much later.
-	targetsReadWait  = time.Second
+	// targetsReadPause is the time between two reads of registrations. They arrive in every tenth of a second, so it limits
+	// the number of reads; a VM that joins a pool becomes known that much later.
 	targetsReadPause = 150 * time.Millisecond
 	// drainTime is how long a stopping daemon still answers on open connections after it
 	// reports not ready: the load balancer checks once a second and acts on the second failure.
@@ -195,7 +193,7 @@
 	}
 	d.member.Init()
 	d.service = &Service{Partitions: s.Log.Partitions, PeerAddress: s.PeerAddress, Zone: s.Zone, Member: d.member, Owners: d.owners, PeerClient: peerClient, Clock: d.Clock, Logger: d.Logger}
-	d.service.Config = &configuration{Platform: p, SetWave: d.service.setWave, Clock: d.Clock, Logger: d.Logger}
+	d.service.Config = &configuration{Platform: p, ApplyWithin: s.Bounds.ConfigApply.Duration, SetWave: d.service.setWave, Clock: d.Clock, Logger: d.Logger}
 	d.service.Config.init()
 	d.standby = &standby{
 		Log: p.Log, PeerAddress: s.PeerAddress, CPU: s.CPU(), PeerClient: d.service.PeerClient, Owners: d.owners, Partitions: s.Log.Partitions, Clock: d.Clock, Logger: d.Logger,
@@ -262,7 +260,7 @@
 
 func (d *Daemon) newTargetWatcher() *watch.Watcher {
 	w := &watch.Watcher{
-		Log: d.Platform.Log, Partition: d.Platform.TargetsPartition, ReadWait: targetsReadWait, ReadPause: targetsReadPause, Enabled: d.member.OwnsAny,
+		Log: d.Platform.Log, Partition: d.Platform.TargetsPartition, ApplyWithin: d.Settings.Bounds.Drain.Duration, ReadPause: targetsReadPause, Enabled: d.member.OwnsAny,
 		Replace: d.directory.Replace, Apply: d.directory.Apply, Clock: d.Clock, Logger: d.Logger,
 	}
 	w.Init()
--- a/internal/jobd/settings.go
+++ b/internal/jobd/settings.go
@@ -48,6 +48,8 @@
 	Retention       config.Duration `toml:"retention"`     // how long a finished job remains visible
 	VMLease         config.Duration `toml:"machine_lease"` // how long a VM is left alone after an intent of a previous fleet controller
 	MaintenanceTime config.Duration `toml:"upkeep"`        // how long the maintenance of one VM takes
+	ConfigApply     config.Duration `toml:"config_apply"`  // a confirmed configuration is in force within this time
+	Drain           config.Duration `toml:"drain"`         // a target that announces its leave gets no new task after this time
 }
 
 // SettingsEnv is the environment variable with the path of the settings file.
@@ -57,6 +59,7 @@
 	defaultStopGrace  = 6 * time.Second
 	defaultRetention  = 2 * time.Minute
 	defaultPartitions = 12
+	defaultApplyTime  = 2 * time.Second
 	controlModeInvoke = "invoke"
 )
 
@@ -64,8 +67,11 @@
 func LoadSettings(path string) (*Settings, error) {
 	s := &Settings{
 		LogLevel: "info", ControlMode: controlModeInvoke, StopGrace: config.Duration{Duration: defaultStopGrace},
-		Bounds: BoundSettings{Retention: config.Duration{Duration: defaultRetention}, RemoteCost: 1},
-		Log:    LogSettings{Partitions: defaultPartitions},
+		Bounds: BoundSettings{
+			Retention: config.Duration{Duration: defaultRetention}, RemoteCost: 1,
+			ConfigApply: config.Duration{Duration: defaultApplyTime}, Drain: config.Duration{Duration: defaultApplyTime},
+		},
+		Log: LogSettings{Partitions: defaultPartitions},
 	}
 	if err := config.DecodeFile(path, s); err != nil {
 		return nil, err
@@ -116,6 +122,9 @@
 	if s.StopGrace.Duration <= 0 {
 		addError("grace = %v is not positive", s.StopGrace)
 	}
+	if s.Bounds.ConfigApply.Duration <= 0 || s.Bounds.Drain.Duration <= 0 {
+		addError("bounds.config_apply = %v, bounds.drain = %v: both must be positive", s.Bounds.ConfigApply, s.Bounds.Drain)
+	}
 	switch s.LogLevel {
 	case "trace", "debug", "info", "warn", "error":
 	default:
--- a/internal/watch/watcher.go
+++ b/internal/watch/watcher.go
@@ -9,15 +9,19 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/toucanhatch/toucanhatch/internal/clock"
+	"github.com/toucanhatch/toucanhatch/internal/hedge"
 	"github.com/toucanhatch/toucanhatch/internal/panics"
 	"github.com/toucanhatch/toucanhatch/internal/plog"
 	"github.com/toucanhatch/toucanhatch/pkg/ident"
 )
 
 const (
-	// callMargin is added to the wait time of a read, for the round trip and a slow log.
-	callMargin = 1200 * time.Millisecond
-	retryPause = 200 * time.Millisecond
+	// answerTimeout is how long after its wait time a read may be answered, by a slow log.
+	answerTimeout = 1200 * time.Millisecond
+	retryPause    = 200 * time.Millisecond
+	// readsWithinTarget is into how many intervals a watcher divides ApplyWithin: the wait time of a read, the time for
+	// its answer, and the time for the answer of a second read, which may meet a silent connection too.
+	readsWithinTarget = 4
 	// enabledPollPeriod is how often a paused watcher checks whether it is enabled again if nobody calls Wake.
 	enabledPollPeriod = time.Second
 	// syncedPollPeriod is how often WaitSynced checks whether the partition has been read.
@@ -28,8 +32,9 @@
 type Watcher struct {
 	Log       plog.Log
 	Partition plog.TopicPartition
-	// ReadWait is how long one read waits for a record.
-	ReadWait time.Duration
+	// ApplyWithin is the time in which a record is applied after the log has confirmed it, also if a read remains
+	// unanswered while the log answers others.
+	ApplyWithin time.Duration
 	// ReadPause is the time between two reads; it limits the number of calls if records arrive all the time.
 	ReadPause time.Duration
 	// Enabled, if set, reports whether to read at present.
@@ -43,7 +48,7 @@
 	offset      ident.Offset
 	synced      atomic.Bool
 	confirmedAt atomic.Int64 // Unix nanoseconds of Clock; 0 before the first answer
-	failing     bool
+	failing     atomic.Bool
 	wake        chan struct{}
 }
 
@@ -93,13 +98,9 @@
 		pause := w.ReadPause
 		if err != nil {
 			pause = retryPause
-			if !w.failing {
-				w.Logger.Warn("cannot read from the log; retrying", "topic", w.Partition.Topic, "error", err)
-			}
-		} else if w.failing {
+		} else if w.failing.Swap(false) {
 			w.Logger.Info("reading from the log again", "topic", w.Partition.Topic, "unconfirmed", w.ConfirmedAt().Sub(previous))
 		}
-		w.failing = err != nil
 		if pause > 0 {
 			_ = clock.Sleep(ctx, w.Clock, pause) // the loop checks the context
 		}
@@ -113,57 +114,98 @@
 	}
 }
 
+// batch is the result of one read.
+type batch struct {
+	sent    time.Time
+	records []plog.Record
+	next    ident.Offset
+	newest  bool // the records are the newest of all keys, rather than those appended since the last read
+}
+
 // readOnce reads the newest records if the watcher is not synced, and otherwise the records appended since the last read.
+// A read without an answer is repeated on another connection.
 func (w *Watcher) readOnce(ctx context.Context) error {
-	if !w.synced.Load() {
-		return w.resync(ctx)
-	}
-	callCtx, cancel := context.WithTimeout(ctx, w.ReadWait+callMargin)
-	defer cancel()
-	sent := w.Clock.Now()
-	records, next, err := w.Log.Read(callCtx, w.Partition, w.offset, w.ReadWait)
+	step := w.ApplyWithin / readsWithinTarget
+	policy := hedge.Policy{After: 2 * step, Interval: step, Clock: w.Clock, Logger: w.Logger}
+	synced, offset := w.synced.Load(), w.offset
+	b, err := hedge.Do(ctx, policy, func(ctx context.Context, n int) (batch, error) {
+		var b batch
+		var err error
+		switch {
+		case !synced:
+			b, err = w.readNewest(ctx)
+		case n == 0:
+			b, err = w.readAppended(ctx, offset, step)
+		default:
+			b, err = w.readAppended(ctx, offset, 0)
+		}
+		if err != nil && ctx.Err() == nil {
+			w.reportFailure(err)
+		}
+		return b, err
+	})
 	var trimmed *plog.TrimmedError
-	if errors.As(err, &trimmed) {
+	switch {
+	case errors.As(err, &trimmed):
 		w.Logger.Info("the log dropped records before they were read; reading the newest records of all keys", "topic", w.Partition.Topic, "offset", w.offset, "first", trimmed.FirstOffset)
 		w.synced.Store(false)
 		return nil
-	}
-	if err != nil {
+	case err != nil:
 		return err
 	}
-	w.offset = next
-	defer w.confirmedAt.Store(sent.UnixNano())
-	for _, r := range records {
-		panics.Catch(w.Logger.With("key", r.Key), "record of "+string(w.Partition.Topic), func() { w.Apply(r) })
-	}
+	w.process(b)
 	return nil
 }
 
-// resync reads the newest record of every key. The following reads begin at the end offset of the first page, since
+// reportFailure logs the first failure since the last answer.
+func (w *Watcher) reportFailure(err error) {
+	var trimmed *plog.TrimmedError
+	if !errors.As(err, &trimmed) && !w.failing.Swap(true) {
+		w.Logger.Warn("cannot read from the log; retrying", "topic", w.Partition.Topic, "error", err)
+	}
+}
+
+func (w *Watcher) process(b batch) {
+	if b.newest {
+		w.Replace(b.records)
+	} else {
+		for _, r := range b.records {
+			panics.Catch(w.Logger.With("key", r.Key), "record of "+string(w.Partition.Topic), func() { w.Apply(r) })
+		}
+	}
+	w.offset = b.next
+	w.confirmedAt.Store(b.sent.UnixNano())
+	w.synced.Store(true)
+}
+
+// readAppended reads the records from an offset on, and waits for the first one up to wait.
+func (w *Watcher) readAppended(ctx context.Context, offset ident.Offset, wait time.Duration) (batch, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+answerTimeout)
+	defer cancel()
+	b := batch{sent: w.Clock.Now()}
+	var err error
+	b.records, b.next, err = w.Log.Read(ctx, w.Partition, offset, wait)
+	return b, err
+}
+
+// readNewest reads the newest record of every key. The following reads begin at the end offset of the first page, since
 // records that were appended while the pages were read may be missing from the earlier ones.
-func (w *Watcher) resync(ctx context.Context) error {
-	var all []plog.Record
-	after, end, first := "", ident.Offset(0), true
-	sent := w.Clock.Now()
-	for {
-		callCtx, cancel := context.WithTimeout(ctx, callMargin)
+func (w *Watcher) readNewest(ctx context.Context) (batch, error) {
+	b := batch{sent: w.Clock.Now(), newest: true}
+	for after, first := "", true; ; first = false {
+		callCtx, cancel := context.WithTimeout(ctx, answerTimeout)
 		page, err := w.Log.Newest(callCtx, w.Partition, after)
 		cancel()
 		if err != nil {
-			return err
+			return batch{}, err
 		}
 		if first {
-			end, first = page.End, false
+			b.next = page.End
 		}
-		all = append(all, page.Records...)
+		b.records = append(b.records, page.Records...)
 		if !page.More || len(page.Records) == 0 {
-			break
+			return b, nil
 		}
 		after = page.Records[len(page.Records)-1].Key
 	}
-	w.Replace(all)
-	w.offset = end
-	w.confirmedAt.Store(sent.UnixNano())
-	w.synced.Store(true)
-	return nil
 }
--- a/internal/watch/watcher_test.go
+++ b/internal/watch/watcher_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -10,6 +11,7 @@
 	"github.com/toucanhatch/toucanhatch/internal/clock"
 	"github.com/toucanhatch/toucanhatch/internal/fakes"
 	"github.com/toucanhatch/toucanhatch/internal/plog"
+	"github.com/toucanhatch/toucanhatch/pkg/ident"
 )
 
 // Guards against a record whose processing panics and thereby ends the process or keeps later records from being
@@ -20,7 +22,7 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
 	w := &Watcher{
-		Log: log, Partition: from, ReadWait: time.Second, Clock: clock.System(), Logger: hclog.NewNullLogger(), Replace: func([]plog.Record) {},
+		Log: log, Partition: from, ApplyWithin: 2 * time.Second, Clock: clock.System(), Logger: hclog.NewNullLogger(), Replace: func([]plog.Record) {},
 		Apply: func(r plog.Record) {
 			if r.Key == "bad" {
 				panic("a malformed record")
@@ -44,3 +46,51 @@
 		}
 	}
 }
+
+// silentConnectionLog never answers the first read after silence is set.
+type silentConnectionLog struct {
+	fakes.Log
+	silence, silent atomic.Bool
+}
+
+func (l *silentConnectionLog) Read(ctx context.Context, from plog.TopicPartition, offset ident.Offset, wait time.Duration) ([]plog.Record, ident.Offset, error) {
+	if l.silence.Swap(false) {
+		l.silent.Store(true)
+		<-ctx.Done()
+		return nil, offset, plog.ErrNoResponse
+	}
+	return l.Log.Read(ctx, from, offset, wait)
+}
+
+// Guards against a record that is applied late because the read before it is never answered.
+func TestUnansweredReadDelaysNoRecord(t *testing.T) {
+	const target = 2 * time.Second
+	log, from := &silentConnectionLog{}, plog.TopicPartition{Topic: "op"}
+	applied := make(chan string, 1)
+	w := &Watcher{
+		Log: log, Partition: from, ApplyWithin: target, Clock: clock.System(), Logger: hclog.NewNullLogger(), Replace: func([]plog.Record) {},
+		Apply: func(r plog.Record) { applied <- r.Key },
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go w.Run(ctx)
+	w.WaitSynced(ctx)
+	log.silence.Store(true)
+	for end := time.Now().Add(5 * time.Second); !log.silent.Load(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("no read was sent")
+		}
+	}
+	if err := log.Append(ctx, from, plog.Writer{}, []plog.Record{{Key: "config", Value: []byte("1")}}); err != nil {
+		t.Fatal(err)
+	}
+	confirmed := time.Now()
+	select {
+	case <-applied:
+		if got := time.Since(confirmed); got > target {
+			t.Errorf("applied %v after its confirmation, want at most %v", got, target)
+		}
+	case <-time.After(10 * time.Second):
+		t.Fatal("the record was not applied")
+	}
+}
