jobd: an entry with an old configuration denies no queue

Cause: findQueue judged by whatever configuration was in force, whatever its age. The age is known: the watcher keeps when its latest answered read was sent.

Requests that match a queue are served as before, so that a zone that is cut off goes on serving.

Evidence: TestUnconfirmedConfigurationDeniesNoQueue failed before (denied, want not run).

--- /dev/null
+++ b/internal/jobd/configuration_test.go
@@ -0,0 +1,78 @@
+package jobd
+
+import (
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/toucanhatch/toucanhatch/internal/clock"
+	"github.com/toucanhatch/toucanhatch/internal/fakes"
+	"github.com/toucanhatch/toucanhatch/internal/plog"
+	"github.com/toucanhatch/toucanhatch/internal/work"
+)
+
+const testConfigKey = "config"
+
+// newTestConfiguration returns a configuration on a log whose values are version numbers.
+func newTestConfiguration(log plog.Log) *configuration {
+	c := &configuration{
+		Platform: &Platform{
+			Log: log, OperatorPartition: plog.TopicPartition{Topic: "op"}, ConfigKey: testConfigKey, IsWaveKey: func(string) bool { return false },
+			DecodeConfig: func(value []byte) (*work.Config, error) {
+				version, err := strconv.ParseInt(string(value), 10, 64)
+				return &work.Config{Version: version, Routes: []work.Route{{Host: "h", Prefix: "/queue/"}}}, err
+			},
+		},
+		ApplyWithin: 2 * time.Second, Clock: clock.System(), Logger: hclog.NewNullLogger(),
+	}
+	c.init()
+	return c
+}
+
+func configRecord(version string) plog.Record {
+	return plog.Record{Key: testConfigKey, Value: []byte(version)}
+}
+
+// Guards against "there is no such queue" from a process that hasn't read the configuration for longer than a new one
+// takes to be in force everywhere.
+func TestUnconfirmedConfigurationDeniesNoQueue(t *testing.T) {
+	log := &fakes.Log{}
+	current, outdated := newTestConfiguration(log), newTestConfiguration(log)
+	if err := log.Append(t.Context(), current.Platform.OperatorPartition, plog.Writer{}, []plog.Record{configRecord("1")}); err != nil {
+		t.Fatal(err)
+	}
+	go current.Run(t.Context())
+	current.watcher.WaitSynced(t.Context())
+	outdated.apply(configRecord("1"))
+
+	for _, test := range []struct {
+		name   string
+		config *configuration
+		path   string
+		denied bool
+		notRun bool
+	}{
+		{"current, a queue", current, "/queue/1", false, false},
+		{"current, no queue", current, "/other/1", true, false},
+		{"outdated, a queue", outdated, "/queue/1", false, false},
+		{"outdated, no queue", outdated, "/other/1", false, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			s := &Service{Config: test.config, Logger: hclog.NewNullLogger()}
+			_, _, err := s.Queue("h", test.path)
+			var notRun *NotRunError
+			if got := errors.Is(err, ErrNoQueue); got != test.denied {
+				t.Errorf("error %v: denied %v, want %v", err, got, test.denied)
+			}
+			if got := errors.As(err, &notRun); got != test.notRun {
+				t.Fatalf("error %v: not run %v, want %v", err, got, test.notRun)
+			}
+			if test.notRun && notRun.RetryAfter <= 0 {
+				t.Errorf("error %v: come back in %v, want a time", err, notRun.RetryAfter)
+			}
+		})
+	}
+}
--- a/internal/jobd/service.go
+++ b/internal/jobd/service.go
@@ -281,7 +281,11 @@
 	}
 	q, rest, ok := t.Find(host, path)
 	if !ok {
-		s.Logger.Info("no queue matches the request", "host", host, "path", path, "version", t.Version, "unconfirmed", s.Config.Age())
+		age := s.Config.Age()
+		s.Logger.Info("no queue matches the request", "host", host, "path", path, "version", t.Version, "unconfirmed", age)
+		if age > s.Config.ApplyWithin { // a newer configuration may have the queue
+			return work.Queue{}, "", &NotRunError{RetryAfter: admit.RetryElsewhere}
+		}
 		return work.Queue{}, "", ErrNoQueue
 	}
 	return q, rest, nil
