jobd: an entry that the log turns away has the configuration from its peers

What callers saw: while the log turns single processes away, they served by the configuration from before for the whole time, although the log had confirmed a newer one and the other processes had it.

Change: if the configuration has not been known to be the newest for half of bounds.config_apply, the process asks two peers, chosen anew each time, four times within the bound. A reply has the version, when the peer knew it to be the newest, and the encoded configuration if the asker has an older one. Versions only rise. The time passes on as an age from the sending of the query, so that it never gets younger on its way.

Evidence: TestConfigurationIsReadFromPeers failed with the query switched off (version 2 after 2 s, want 3).

--- a/internal/jobd/configuration.go
+++ b/internal/jobd/configuration.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/toucanhatch/toucanhatch/internal/clock"
+	"github.com/toucanhatch/toucanhatch/internal/link"
+	"github.com/toucanhatch/toucanhatch/internal/panics"
 	"github.com/toucanhatch/toucanhatch/internal/plog"
 	"github.com/toucanhatch/toucanhatch/internal/route"
 	"github.com/toucanhatch/toucanhatch/internal/watch"
@@ -20,13 +23,44 @@
 	// ApplyWithin is the time in which a confirmed configuration is in force here.
 	ApplyWithin time.Duration
 	SetWave     func(work.Wave)
-	Clock       clock.Clock
-	Logger      hclog.Logger
+	// SomePeers returns the addresses of n other daemons at most, chosen anew at each call.
+	SomePeers  func(n int) []string
+	PeerClient *link.Client
+	Clock      clock.Clock
+	Logger     hclog.Logger
 
-	table   atomic.Pointer[route.Table] // nil until a configuration has been read
+	current atomic.Pointer[appliedConfig] // nil until a configuration has been read
 	watcher *watch.Watcher
+
+	mu              sync.Mutex // held while a configuration replaces another
+	peerConfirmedAt time.Time  // by the clock of this daemon, the latest time as of which a peer knew that it had the newest configuration
+}
+
+// appliedConfig is a configuration in force.
+type appliedConfig struct {
+	table   *route.Table
+	encoded []byte // as published by the operators
+}
+
+// configQuery asks another daemon for a newer configuration than that of a version.
+type configQuery struct {
+	Version int64 `cbor:"1,keyasint"`
 }
 
+// configReply is the response to a [configQuery].
+type configReply struct {
+	Version int64         `cbor:"1,keyasint"`           // that the daemon has in force; 0 if none
+	Age     time.Duration `cbor:"2,keyasint"`           // since that version was known to be the newest
+	Encoded []byte        `cbor:"3,keyasint,omitempty"` // of that version, if it is newer than the one asked for
+}
+
+const (
+	// configQueriesWithinTarget is how often peers are asked within ApplyWithin.
+	configQueriesWithinTarget = 4
+	// configQueryPeers is how many peers are asked at a time.
+	configQueryPeers = 2
+)
+
 func (c *configuration) init() {
 	c.watcher = &watch.Watcher{
 		Log: c.Platform.Log, Partition: c.Platform.OperatorPartition, ApplyWithin: c.ApplyWithin, Clock: c.Clock, Logger: c.Logger,
@@ -39,14 +73,91 @@
 	}
 }
 
-// Run reads the operators' records until ctx is done.
-func (c *configuration) Run(ctx context.Context) { c.watcher.Run(ctx) }
+// Run reads the operators' records until ctx is done. While the log leaves reads unanswered here, it asks other daemons
+// for the configuration.
+func (c *configuration) Run(ctx context.Context) {
+	queries := c.Clock.Every(c.ApplyWithin/configQueriesWithinTarget, func() {
+		if c.Age() > c.ApplyWithin/2 {
+			panics.Catch(c.Logger, "configuration of peers", func() { c.askPeers(ctx) })
+		}
+	})
+	defer queries.Stop()
+	c.watcher.Run(ctx)
+}
 
 // Table returns the routes and pools of the configuration that is in force; nil if none has been read.
-func (c *configuration) Table() *route.Table { return c.table.Load() }
+func (c *configuration) Table() *route.Table {
+	if current := c.current.Load(); current != nil {
+		return current.table
+	}
+	return nil
+}
+
+// version returns the version in force, 0 if there is none.
+func (c *configuration) version() int64 {
+	if t := c.Table(); t != nil {
+		return t.Version
+	}
+	return 0
+}
 
 // Age returns the time since the configuration was known to be the newest.
-func (c *configuration) Age() time.Duration { return c.Clock.Now().Sub(c.watcher.ConfirmedAt()) }
+func (c *configuration) Age() time.Duration {
+	c.mu.Lock()
+	confirmed := c.peerConfirmedAt
+	c.mu.Unlock()
+	if at := c.watcher.ConfirmedAt(); at.After(confirmed) {
+		confirmed = at
+	}
+	return c.Clock.Now().Sub(confirmed)
+}
+
+// reply answers the query of another daemon.
+func (c *configuration) reply(q configQuery) configReply {
+	age := c.Age() // before the version is read, which may then be newer than the age says, but not older
+	current := c.current.Load()
+	if current == nil {
+		return configReply{Age: age}
+	}
+	r := configReply{Version: current.table.Version, Age: age}
+	if r.Version > q.Version {
+		r.Encoded = current.encoded
+	}
+	return r
+}
+
+// askPeers asks some other daemons for a newer configuration.
+func (c *configuration) askPeers(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, c.ApplyWithin/configQueriesWithinTarget)
+	defer cancel()
+	var wg sync.WaitGroup
+	for _, addr := range c.SomePeers(configQueryPeers) {
+		wg.Go(func() {
+			sent := c.Clock.Now()
+			r, err := link.Call[configReply](ctx, c.PeerClient, addr, methodConfig, configQuery{Version: c.version()})
+			if err != nil || r.Version == 0 {
+				return // another daemon may have it
+			}
+			if len(r.Encoded) > 0 {
+				c.Logger.Info("a peer has a newer configuration", "peer", addr, "version", r.Version, "unconfirmed", r.Age)
+				c.applyConfig(r.Encoded)
+			}
+			if c.version() >= r.Version {
+				c.confirm(sent.Add(-r.Age))
+			}
+		})
+	}
+	wg.Wait()
+}
+
+// confirm notes that the configuration in force was the newest at a time.
+func (c *configuration) confirm(at time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if at.After(c.peerConfirmedAt) {
+		c.peerConfirmedAt = at
+	}
+}
 
 // apply puts a record of the operators in force.
 func (c *configuration) apply(r plog.Record) {
@@ -72,12 +183,14 @@
 		return
 	}
 	var unconfirmed time.Duration
-	if old := c.Table(); old != nil {
-		if config.Version <= old.Version {
-			return
-		}
+	if c.Table() != nil {
 		unconfirmed = c.Age()
 	}
-	c.table.Store(route.New(config))
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if config.Version <= c.version() {
+		return
+	}
+	c.current.Store(&appliedConfig{table: route.New(config), encoded: value})
 	c.Logger.Info("configuration applied", "version", config.Version, "routes", len(config.Routes), "pools", len(config.Pools), "unconfirmed", unconfirmed)
 }
--- a/internal/jobd/configuration_test.go
+++ b/internal/jobd/configuration_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/toucanhatch/toucanhatch/internal/clock"
 	"github.com/toucanhatch/toucanhatch/internal/fakes"
+	"github.com/toucanhatch/toucanhatch/internal/link"
 	"github.com/toucanhatch/toucanhatch/internal/plog"
 	"github.com/toucanhatch/toucanhatch/internal/work"
 )
@@ -26,7 +27,7 @@
 				return &work.Config{Version: version, Routes: []work.Route{{Host: "h", Prefix: "/queue/"}}}, err
 			},
 		},
-		ApplyWithin: 2 * time.Second, Clock: clock.System(), Logger: hclog.NewNullLogger(),
+		ApplyWithin: 2 * time.Second, SomePeers: func(int) []string { return nil }, PeerClient: &link.Client{}, Clock: clock.System(), Logger: hclog.NewNullLogger(),
 	}
 	c.init()
 	return c
@@ -76,3 +77,32 @@
 		})
 	}
 }
+
+// Guards against a daemon that keeps an old configuration, and executes requests by it, while the log turns it away and
+// its peers have a newer one.
+func TestConfigurationIsReadFromPeers(t *testing.T) {
+	refusing := &fakes.Log{BeforeCall: func(string, plog.TopicPartition) (bool, error) { return false, plog.ErrRefused }}
+	newer, older := newTestConfiguration(refusing), newTestConfiguration(refusing)
+	newer.apply(configRecord("3"))
+	newer.confirm(time.Now())
+	older.apply(configRecord("1"))
+	peers := []string{startPeer(t, newer.reply(configQuery{Version: 2})), startPeer(t, older.reply(configQuery{Version: 2}))}
+
+	c := newTestConfiguration(refusing)
+	c.SomePeers = func(int) []string { return peers }
+	c.apply(configRecord("2"))
+	go c.Run(t.Context())
+	for end := time.Now().Add(c.ApplyWithin); c.version() != 3; time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("version %d after %v, want 3, which a peer has", c.version(), c.ApplyWithin)
+		}
+	}
+	for end := time.Now().Add(c.ApplyWithin); c.Age() > c.ApplyWithin; time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("the configuration of the peer was confirmed %v ago, want at most %v", c.Age(), c.ApplyWithin)
+		}
+	}
+	if got, want := c.reply(configQuery{Version: 3}).Encoded, 0; len(got) != want {
+		t.Errorf("reply to a peer with the same version has %d bytes, want %d", len(got), want)
+	}
+}
--- a/internal/jobd/daemon.go
+++ b/internal/jobd/daemon.go
@@ -193,7 +193,10 @@
 	}
 	d.member.Init()
 	d.service = &Service{Partitions: s.Log.Partitions, PeerAddress: s.PeerAddress, Zone: s.Zone, Member: d.member, Owners: d.owners, PeerClient: peerClient, Clock: d.Clock, Logger: d.Logger}
-	d.service.Config = &configuration{Platform: p, ApplyWithin: s.Bounds.ConfigApply.Duration, SetWave: d.service.setWave, Clock: d.Clock, Logger: d.Logger}
+	d.service.Config = &configuration{
+		Platform: p, ApplyWithin: s.Bounds.ConfigApply.Duration, SetWave: d.service.setWave, SomePeers: d.owners.SomePeers, PeerClient: peerClient,
+		Clock: d.Clock, Logger: d.Logger,
+	}
 	d.service.Config.init()
 	d.standby = &standby{
 		Log: p.Log, PeerAddress: s.PeerAddress, CPU: s.CPU(), PeerClient: d.service.PeerClient, Owners: d.owners, Partitions: s.Log.Partitions, Clock: d.Clock, Logger: d.Logger,
--- a/internal/jobd/owners.go
+++ b/internal/jobd/owners.go
@@ -175,15 +175,20 @@
 	return out
 }
 
+// SomePeers returns the addresses of n other owners chosen at random, or of all if there are fewer.
+func (o *ownerTable) SomePeers(n int) []string {
+	addrs := slices.DeleteFunc(o.Addresses(), func(addr string) bool { return addr == o.PeerAddress })
+	rand.Shuffle(len(addrs), func(i, j int) { addrs[i], addrs[j] = addrs[j], addrs[i] })
+	return addrs[:min(len(addrs), n)]
+}
+
 // askPeers asks some other daemons for their owner tables. It is called while the log can't be read from here: a daemon
 // without access to the log can still forward clients' requests, provided that it knows the owners.
 func (o *ownerTable) askPeers(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, ownersQueryTimeout)
 	defer cancel()
-	addrs := slices.DeleteFunc(o.Addresses(), func(addr string) bool { return addr == o.PeerAddress })
-	rand.Shuffle(len(addrs), func(i, j int) { addrs[i], addrs[j] = addrs[j], addrs[i] })
 	var wg sync.WaitGroup
-	for _, addr := range addrs[:min(len(addrs), ownersQueryPeers)] {
+	for _, addr := range o.SomePeers(ownersQueryPeers) {
 		wg.Go(func() {
 			sent := o.Clock.Now()
 			snapshot, err := link.Call[ownerSnapshot](ctx, o.PeerClient, addr, methodOwners, struct{}{})
--- a/internal/jobd/service.go
+++ b/internal/jobd/service.go
@@ -82,6 +82,7 @@
 	methodPing    link.Method = "ping"
 	methodTime    link.Method = "time"
 	methodOwners  link.Method = "owners"
+	methodConfig  link.Method = "config"
 )
 
 // outcome is the result of a request at the pool's owner.
@@ -120,6 +121,8 @@
 		return link.TypedHandler(func(context.Context, struct{}) (pingReply, error) { return s.pingReply(), nil })(ctx, body)
 	case methodOwners:
 		return link.TypedHandler(func(context.Context, struct{}) (ownerSnapshot, error) { return s.Owners.snapshot(), nil })(ctx, body)
+	case methodConfig:
+		return link.TypedHandler(func(_ context.Context, q configQuery) (configReply, error) { return s.Config.reply(q), nil })(ctx, body)
 	case methodTime:
 		return link.TypedHandler(func(context.Context, struct{}) (clockReading, error) {
 			return clockReading{Now: s.Clock.Now().UnixNano()}, nil
