jobs: a task that crashes its targets is given up

Cause: the end of a run by a restart of its target was nobody's fault. Only ends that a target reports as failed count as attempts, and a crashed target reports none, so the task started elsewhere at once, 0.3 s later, without end.

Change: a restart that nobody ordered is blamed on the tasks that the target had started shortly before and that it hadn't reported for half a second since (internal/blame). From then on such a task starts by way of a trial: a target is reserved for it, where a crash ends the least, and it starts there once no other task is as new; so a further crash tells. A task is given up, and its job failed, after two crashes that have no other cause, or after five in all. Neighbors survive their trials and run on. At most a quarter of the usable targets is reserved. The history is part of the job's record, in a field of its own, so that other builds read the records.

--- a/internal/jobs/candidates.go
+++ b/internal/jobs/candidates.go
@@ -49,7 +49,7 @@
 	cs := &candidateSet{}
 	for _, t := range p.sortedTargets() {
 		t.candidate = -1
-		if t.usable(now) {
+		if t.usable(now) && t.trial == nil {
 			cs.targets = append(cs.targets, t)
 		}
 	}
@@ -71,6 +71,16 @@
 	return cs
 }
 
+// exclude takes a candidate from the set of those that fit any task.
+func (cs *candidateSet) exclude(k int) {
+	c := &cs.list[k]
+	if z := cs.spanOf(c.Zone); z != nil {
+		z.free -= max(c.Free.CPU, 0)
+	}
+	c.Free = work.Resources{CPU: -1}
+	cs.updateMaxFree()
+}
+
 // homeZone returns the preferred zone of all tasks of a job: the one where the job started if it has free CPU, or else
 // the one with the most free CPU. A network partition of a zone then delays only the jobs that are placed in it. Service
 // tasks have no preferred zone.
--- /dev/null
+++ b/internal/jobs/crash.go
@@ -0,0 +1,187 @@
+package jobs
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/toucanhatch/toucanhatch/internal/blame"
+	"github.com/toucanhatch/toucanhatch/internal/place"
+	"github.com/toucanhatch/toucanhatch/internal/work"
+)
+
+// suspect is a task under which a target has crashed.
+type suspect struct {
+	id   work.TaskID
+	job  *job
+	task *task
+	step *stepState
+	spec *work.Step
+}
+
+// trial reserves a target for the start of a suspect. Other tasks don't start there until the suspect has survived.
+type trial struct {
+	*suspect
+	since time.Time
+}
+
+const (
+	// maxTrialWait is how long a target is reserved for a suspect that can't start there.
+	maxTrialWait = 3 * time.Second
+	// trialShare is the inverse of the share of the usable targets that may be reserved for trials.
+	trialShare = 4
+)
+
+// survived reports whether the run's target has reported long enough after its start. Runs of previous owners count as
+// survivors, since it is not known when they started.
+func (r *run) survived() bool {
+	if r.state == runPlanned {
+		return false
+	}
+	return r.startSentAt.IsZero() || r.target.lastHeard.Sub(r.startSentAt) >= blame.SurvivalTime
+}
+
+// mayCrash reports whether the run can be the cause of a crash of its target's incarnations before the given one.
+func (r *run) mayCrash(incarnation int64) bool {
+	return r.task != nil && r.state != runPlanned && r.incarnation != 0 && r.incarnation < incarnation && !r.survived()
+}
+
+// handleCrash blames the tasks that may have crashed the incarnations of a target before the given one, and fails the jobs
+// of those that are given up.
+func (p *Pool) handleCrash(now time.Time, t *target, incarnation int64) {
+	if t.Draining || t.cordon != NoCordon {
+		return // the VM was taken down on purpose
+	}
+	runs := slices.DeleteFunc(t.runList(), func(r *run) bool { return !r.mayCrash(incarnation) })
+	for _, r := range runs {
+		sole := !slices.ContainsFunc(runs, func(other *run) bool { return other.task != r.task && (other.step != r.step || !r.spec.Gang) })
+		p.blame(now, r, sole, len(runs))
+	}
+}
+
+// blame adds a crash to the history of a run's task.
+func (p *Pool) blame(now time.Time, r *run, sole bool, of int) {
+	h := &r.task.crashes
+	if !h.OnTrial() {
+		p.suspects = append(p.suspects, &suspect{id: r.key.task, job: r.job, task: r.task, step: r.step, spec: r.spec})
+	}
+	h.Add(sole)
+	p.markDirty(r.job)
+	p.emit(Event{
+		Kind: EventCrash, Job: r.job.id, Task: r.key.task, Attempt: r.key.attempt, Target: r.target.ID,
+		Detail: fmt.Sprintf("one of %d tasks; crashes under it %d, without another cause %d", of, h.Crashes, h.Sole),
+	})
+	if !h.GiveUp() || r.job.finished() {
+		return
+	}
+	r.job.failed = true
+	p.finish(now, r.job)
+	p.emit(Event{
+		Kind: EventFailed, Job: r.job.id, Queue: r.job.queue, Task: r.key.task, Attempt: r.key.attempt, Target: r.target.ID,
+		Detail: "the task crashes its targets",
+	})
+}
+
+// onTrial reports whether a task starts only by way of a trial. The members of a gang start together, and tickets name
+// the targets of their steps, so these start as usual.
+func (p *Pool) onTrial(j *job, spec *work.Step, t *task) bool {
+	return t.crashes.OnTrial() && !spec.Gang && p.queues[j.queue].Advice == nil
+}
+
+// endTrials releases the targets whose trials are over, or that can't be used for them.
+func (p *Pool) endTrials(now time.Time) {
+	for _, t := range p.trialTargets {
+		if t.trial.over(now, t) {
+			t.trial, p.replan = nil, true
+		}
+	}
+	p.trialTargets = slices.DeleteFunc(p.trialTargets, func(t *target) bool { return t.trial == nil })
+}
+
+func (x *trial) over(now time.Time, t *target) bool {
+	r := x.task.run
+	switch {
+	case x.task.done, x.job.finished(), !t.usable(now):
+		return true
+	case r == nil:
+		return now.Sub(x.since) > maxTrialWait
+	default:
+		return r.target != t || r.survived()
+	}
+}
+
+// runTrials reserves targets for the suspects that wait, and starts those whose target has no other new task.
+func (p *Pool) runTrials(now time.Time, cs *candidateSet) {
+	p.suspects = slices.DeleteFunc(p.suspects, func(s *suspect) bool { return s.task.done || s.job.finished() })
+	for _, s := range p.suspects {
+		if !p.onTrial(s.job, s.spec, s.task) || s.task.run != nil || s.step.pendingDeps > 0 || now.Before(s.task.notBefore) {
+			continue
+		}
+		t := p.trialTarget(s)
+		if t == nil {
+			t = p.reserveForTrial(now, s, cs)
+		}
+		if t != nil && reservation(s.spec).Fits(t.Capacity.Minus(t.reserved)) && t.allSurvived() {
+			p.planRun(s.job, s.id.Occurrence, s.id.Step, s.id.Index, t, "")
+			p.emitPlanned(s.job)
+		}
+	}
+}
+
+// trialTarget returns the target that is reserved for a suspect; nil if there is none.
+func (p *Pool) trialTarget(s *suspect) *target {
+	for _, t := range p.trialTargets {
+		if t.trial.task == s.task {
+			return t
+		}
+	}
+	return nil
+}
+
+// reserveForTrial reserves the target on which a crash would end the least work, and takes it from the candidates of other
+// tasks. It returns nil if there is none, or if enough targets are reserved.
+func (p *Pool) reserveForTrial(now time.Time, s *suspect, cs *candidateSet) *target {
+	if len(p.trialTargets) >= max(1, len(cs.targets)/trialShare) {
+		return nil
+	}
+	var best *target
+	for _, t := range cs.targets {
+		if t.trial == nil && t.suits(s) && (best == nil || t.crashCost() < best.crashCost()) {
+			best = t
+		}
+	}
+	if best != nil {
+		best.trial = &trial{suspect: s, since: now}
+		p.trialTargets = append(p.trialTargets, best)
+		cs.exclude(best.candidate)
+	}
+	return best
+}
+
+// suits reports whether the target can run a suspect once its other tasks have ended.
+func (t *target) suits(s *suspect) bool {
+	return place.Feasible(
+		&place.Candidate{ID: t.ID, Free: t.Capacity, Labels: t.Labels, SameStep: t.runsOf(s.step)},
+		place.Task{Need: reservation(s.spec), Label: s.spec.Label, MaxPerTarget: s.spec.MaxPerTarget},
+	)
+}
+
+func (t *target) runsOf(st *stepState) int {
+	n := 0
+	for _, r := range t.orderedRuns {
+		if r.step == st {
+			n++
+		}
+	}
+	return n
+}
+
+// crashCost ranks targets by the work that a crash would end. Service tasks are the dearest, since they are never done.
+func (t *target) crashCost() int { return len(t.runs) + serviceCrashCost*t.serviceRuns }
+
+// serviceCrashCost is how many other tasks a service task outweighs.
+const serviceCrashCost = 100
+
+func (t *target) allSurvived() bool {
+	return !slices.ContainsFunc(t.orderedRuns, func(r *run) bool { return !r.survived() })
+}
--- a/internal/jobs/event.go
+++ b/internal/jobs/event.go
@@ -24,6 +24,7 @@
 	EventRejected        EventKind = "rejected" // a target rejected a start command
 	EventStartUnanswered EventKind = "unsure"   // a start command got no response
 	EventSuspect         EventKind = "suspect"  // a run makes too little progress and is stopped
+	EventCrash           EventKind = "crash"    // a target has crashed shortly after it had started a task
 )
 
 // Event is one decision, with the facts that it is based on.
--- a/internal/jobs/job.go
+++ b/internal/jobs/job.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/toucanhatch/toucanhatch/internal/blame"
 	"github.com/toucanhatch/toucanhatch/internal/work"
 	"github.com/toucanhatch/toucanhatch/pkg/ident"
 )
@@ -54,10 +55,11 @@
 	lastFailed  work.Attempt // highest attempt whose failure has been counted
 	checkpoint  string
 	done        bool
-	run         *run          // nil if all its runs are known to have ended
-	notBefore   time.Time     // no new run is planned before this time
-	stallStops  int           // how often a run was stopped because it made no progress
-	slowStops   int           // how often a run was stopped because its target seemed slow
+	run         *run      // nil if all its runs are known to have ended
+	notBefore   time.Time // no new run is planned before this time
+	stallStops  int       // how often a run was stopped because it made no progress
+	slowStops   int       // how often a run was stopped because its target seemed slow
+	crashes     blame.History
 	avoidTarget work.TargetID // target on which the last run failed or made too little progress
 }
 
@@ -169,6 +171,9 @@
 				} else if t.attempt > 0 {
 					r.Tasks = append(r.Tasks, t.record(o.number, s, i))
 				}
+				if t.crashes.OnTrial() && !t.done {
+					r.Crashes = append(r.Crashes, CrashRecord{Occurrence: o.number, Step: s, Index: i, History: t.crashes})
+				}
 			}
 			r.Done = append(r.Done, bits)
 		}
@@ -206,6 +211,14 @@
 			}
 		}
 	}
+	for i := range r.Crashes {
+		cr := &r.Crashes[i]
+		id := work.TaskID{Job: r.ID, Occurrence: cr.Occurrence, Step: cr.Step, Index: cr.Index}
+		if t, st := j.findTask(id); t != nil && !t.done {
+			t.crashes = cr.History
+			p.suspects = append(p.suspects, &suspect{id: id, job: j, task: t, step: st, spec: &spec.Steps[cr.Step]})
+		}
+	}
 	for i := range r.Tasks {
 		tr := &r.Tasks[i]
 		id := work.TaskID{Job: r.ID, Occurrence: tr.Occurrence, Step: tr.Step, Index: tr.Index}
--- a/internal/jobs/plan.go
+++ b/internal/jobs/plan.go
@@ -19,7 +19,9 @@
 		return
 	}
 	p.replan = false
+	p.endTrials(now)
 	candidates := p.newCandidateSet(now)
+	p.runTrials(now, candidates)
 	if len(candidates.list) == 0 {
 		return
 	}
@@ -187,6 +189,9 @@
 			}
 			continue
 		}
+		if p.onTrial(j, spec, t) {
+			continue
+		}
 		k := cs.best(spec, t, advice, zone)
 		if k < 0 {
 			return // the other tasks of the step do not fit either
--- a/internal/jobs/pool.go
+++ b/internal/jobs/pool.go
@@ -32,6 +32,8 @@
 	queues         map[work.QueueID]work.Queue
 	jobs           map[work.JobID]*job
 	active         []*job // the unfinished jobs
+	suspects       []*suspect
+	trialTargets   []*target // the targets with a trial
 	targets        map[work.TargetID]*target
 	sorted         []*target           // cache of sortedTargets; nil after a change
 	dirty          map[work.JobID]*job // changed since the last write
--- a/internal/jobs/pool_test.go
+++ b/internal/jobs/pool_test.go
@@ -15,13 +15,14 @@
 	now     time.Time
 	lastSeq map[work.TargetID]int64
 	runs    map[work.TargetID][]work.RunStatus
+	crashes map[work.TargetID]int64
 }
 
 var testQueue = work.Queue{ID: "q", Pool: "pool", MaxAttempts: 2, SlackFactor: 1.6, Objective: 600 * time.Millisecond}
 
 func newHarness(t *testing.T, targets int) *harness {
 	t.Helper()
-	h := &harness{t: t, pool: NewPool("pool"), now: time.Unix(1_700_000_000, 0), lastSeq: map[work.TargetID]int64{}, runs: map[work.TargetID][]work.RunStatus{}}
+	h := &harness{t: t, pool: NewPool("pool"), now: time.Unix(1_700_000_000, 0), lastSeq: map[work.TargetID]int64{}, crashes: map[work.TargetID]int64{}, runs: map[work.TargetID][]work.RunStatus{}}
 	h.pool.Fence = 1
 	h.pool.Bounds = Bounds{StopTimeout: 400 * time.Millisecond, RemoteCost: 1, Retention: time.Minute, InheritedLease: 9 * time.Second, MaxLease: 5 * time.Second}
 	h.pool.SetQueues([]work.Queue{testQueue})
@@ -47,7 +48,14 @@
 		h.lastSeq[id]++
 		ended[i].Seq = h.lastSeq[id]
 	}
-	h.pool.HandleRunReport(h.now, work.RunReport{Target: id, Incarnation: 1000, RequestedAt: h.now.Add(-time.Millisecond), Running: h.runs[id], Ended: ended})
+	h.pool.HandleRunReport(h.now, work.RunReport{Target: id, Incarnation: 1000 + h.crashes[id], RequestedAt: h.now.Add(-time.Millisecond), Running: h.runs[id], Ended: ended})
+}
+
+// crash restarts a target and delivers the first run report of its next incarnation.
+func (h *harness) crash(id work.TargetID) {
+	h.crashes[id]++
+	h.lastSeq[id], h.runs[id] = 0, nil
+	h.deliverReport(id)
 }
 
 func (h *harness) submit(steps ...work.Step) {
--- a/internal/jobs/record.go
+++ b/internal/jobs/record.go
@@ -5,6 +5,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/toucanhatch/toucanhatch/internal/blame"
 	"github.com/toucanhatch/toucanhatch/internal/work"
 	"github.com/toucanhatch/toucanhatch/pkg/ident"
 )
@@ -23,6 +24,8 @@
 	Tasks []TaskRecord `cbor:"9,keyasint,omitempty"`
 	// Done holds a bitmap of the done tasks for each step of each occurrence.
 	Done [][]byte `cbor:"10,keyasint,omitempty"`
+	// Crashes holds the tasks under which targets have crashed and that are not done.
+	Crashes []CrashRecord `cbor:"11,keyasint,omitempty"`
 }
 
 // TaskRecord is the stored state of a task that has been planned at least once and is not done.
@@ -41,6 +44,15 @@
 	LeaseExpiresBy time.Time // wall time by which its lease has expired; zero unless the owner could not reach the target
 }
 
+// CrashRecord is the stored history of the crashes under a task.
+type CrashRecord struct {
+	_          struct{} `cbor:",toarray"`
+	Occurrence int
+	Step       int
+	Index      int
+	History    blame.History
+}
+
 // encodeMode and decodeMode are the codec of records; times are encoded as seconds since the epoch, with a fraction where needed.
 var encodeMode, decodeMode = func() (cbor.EncMode, cbor.DecMode) {
 	enc, err := cbor.EncOptions{Time: cbor.TimeUnixDynamic}.EncMode()
--- a/internal/jobs/run.go
+++ b/internal/jobs/run.go
@@ -56,6 +56,7 @@
 	// conclusiveSince is the time from which run reports are conclusive: a report
 	// that was requested later and doesn't name the run shows that it isn't running.
 	conclusiveSince time.Time
+	startSentAt     time.Time // zero if a previous owner sent the start command
 	stopSentAt      time.Time
 	stopAcked       bool
 	startedAt       time.Time
@@ -168,7 +169,7 @@
 
 // sendStart sends the start command of a run whose record is durable.
 func (p *Pool) sendStart(now time.Time, r *run) {
-	r.state, r.conclusiveSince = runStartSent, now
+	r.state, r.conclusiveSince, r.startSentAt = runStartSent, now, now
 	p.commands = append(p.commands, StartCommand{
 		Target: r.target.ID, Task: r.key.task, Attempt: r.key.attempt, Payload: r.job.spec.Payload,
 		Checkpoint: r.checkpoint, Ticket: r.ticket, Incarnation: r.incarnation,
--- a/internal/jobs/target.go
+++ b/internal/jobs/target.go
@@ -36,6 +36,7 @@
 	hasUnacked           bool  // it is in Pool.unackedTargets
 	ackedSeq             int64 // the ends up to this one may be acknowledged
 	health               health.Tracker
+	trial                *trial // reserves the target for one task; nil if it is not reserved
 }
 
 // CordonReason is the reason why a target gets no new tasks.
@@ -243,10 +244,10 @@
 		return // a later report has been handled; ends that only this one names are reported again
 	}
 	t.reportRequestedAt = report.RequestedAt
-	t.lastHeard, t.unreachable = now, false
 	if t.reportedIncarnation != report.Incarnation {
 		p.handleNewIncarnation(now, t, report.Incarnation)
 	}
+	t.lastHeard, t.unreachable = now, false
 	for i := range report.Running {
 		p.handleRunStatus(now, t, &report.Running[i])
 	}
@@ -311,6 +312,7 @@
 // whose start command may still be in flight is stopped in the new incarnation
 // before its task starts elsewhere.
 func (p *Pool) handleNewIncarnation(now time.Time, t *target, incarnation int64) {
+	p.handleCrash(now, t, incarnation)
 	t.reportedIncarnation, t.lastEndSeq, t.ackedSeq, t.pendingAcks = incarnation, 0, 0, nil
 	clear(t.recentlyEnded)
 	t.recentlyEndedOrder = nil
--- a/internal/jobs/tick.go
+++ b/internal/jobs/tick.go
@@ -119,6 +119,7 @@
 	if t == nil {
 		return
 	}
+	p.handleCrash(now, t, incarnation)
 	for _, r := range t.runList() {
 		if r.incarnation != 0 && r.incarnation < incarnation {
 			p.markLost(now, r, "the VM has restarted or is down")
