jobs: a crash is blamed by the time at which its target was lost

Change: the tasks blamed are those that had started within 250 ms before the connections to the target were lost, if there are any. A trial is over once the target has confirmed the start and not been lost for 250 ms.

Tried and dropped: blaming starts without an answer first.

--- a/internal/jobs/crash.go
+++ b/internal/jobs/crash.go
@@ -10,6 +10,18 @@
 	"github.com/toucanhatch/toucanhatch/internal/work"
 )
 
+const (
+	// settleTime is how soon after the start of its cause a crash breaks the connections to the target, and how long the
+	// target gets no other task during a trial.
+	settleTime = 250 * time.Millisecond
+	// maxTrialWait is how long a target is reserved for a suspect that can't start there.
+	maxTrialWait = 3 * time.Second
+	// trialShare is the inverse of the share of the usable targets that may be reserved for trials.
+	trialShare = 4
+	// serviceCrashCost is how many other tasks a service task outweighs in the choice of a target for a trial.
+	serviceCrashCost = 100
+)
+
 // suspect is a task under which a target has crashed.
 type suspect struct {
 	id   work.TaskID
@@ -25,13 +37,6 @@
 	since time.Time
 }
 
-const (
-	// maxTrialWait is how long a target is reserved for a suspect that can't start there.
-	maxTrialWait = 3 * time.Second
-	// trialShare is the inverse of the share of the usable targets that may be reserved for trials.
-	trialShare = 4
-)
-
 // survived reports whether the run's target has reported long enough after its start. Runs of previous owners count as
 // survivors, since it is not known when they started.
 func (r *run) survived() bool {
@@ -41,9 +46,9 @@
 	return r.startSentAt.IsZero() || r.target.lastHeard.Sub(r.startSentAt) >= blame.SurvivalTime
 }
 
-// mayCrash reports whether the run can be the cause of a crash of its target's incarnations before the given one.
-func (r *run) mayCrash(incarnation int64) bool {
-	return r.task != nil && r.state != runPlanned && r.incarnation != 0 && r.incarnation < incarnation && !r.survived()
+// settled reports whether the target has confirmed the start of the run and has not been lost for a while since.
+func (r *run) settled(now time.Time) bool {
+	return !r.startedAt.IsZero() && !r.target.unreachable && now.Sub(r.startSentAt) >= settleTime
 }
 
 // handleCrash blames the tasks that may have crashed the incarnations of a target before the given one, and fails the jobs
@@ -52,13 +57,36 @@
 	if t.Draining || t.cordon != NoCordon {
 		return // the VM was taken down on purpose
 	}
-	runs := slices.DeleteFunc(t.runList(), func(r *run) bool { return !r.mayCrash(incarnation) })
+	runs := t.crashSuspects(incarnation)
 	for _, r := range runs {
 		sole := !slices.ContainsFunc(runs, func(other *run) bool { return other.task != r.task && (other.step != r.step || !r.spec.Gang) })
 		p.blame(now, r, sole, len(runs))
 	}
 }
 
+// crashSuspects returns the runs that can be the cause of a crash of the target's incarnations before the given one: the
+// one on trial, or else those that had started just before the connections to the target were lost, or else, if it fell
+// silent or its connections were lost late, all that it has not reported for blame.SurvivalTime.
+func (t *target) crashSuspects(incarnation int64) []*run {
+	var all, late []*run
+	for _, r := range t.orderedRuns {
+		if r.task == nil || r.state == runPlanned || r.incarnation == 0 || r.incarnation >= incarnation || r.survived() {
+			continue
+		}
+		if t.trial != nil && t.trial.task == r.task {
+			return []*run{r}
+		}
+		all = append(all, r)
+		if t.unreachable && t.unreachableSince.Sub(r.startSentAt) < settleTime {
+			late = append(late, r)
+		}
+	}
+	if len(late) > 0 {
+		return late
+	}
+	return all
+}
+
 // blame adds a crash to the history of a run's task.
 func (p *Pool) blame(now time.Time, r *run, sole bool, of int) {
 	h := &r.task.crashes
@@ -106,7 +134,7 @@
 	case r == nil:
 		return now.Sub(x.since) > maxTrialWait
 	default:
-		return r.target != t || r.survived()
+		return r.target != t || r.settled(now)
 	}
 }
 
@@ -121,7 +149,7 @@
 		if t == nil {
 			t = p.reserveForTrial(now, s, cs)
 		}
-		if t != nil && reservation(s.spec).Fits(t.Capacity.Minus(t.reserved)) && t.allSurvived() {
+		if t != nil && reservation(s.spec).Fits(t.Capacity.Minus(t.reserved)) && t.allSettled(now) {
 			p.planRun(s.job, s.id.Occurrence, s.id.Step, s.id.Index, t, "")
 			p.emitPlanned(s.job)
 		}
@@ -179,9 +207,6 @@
 // crashCost ranks targets by the work that a crash would end. Service tasks are the dearest, since they are never done.
 func (t *target) crashCost() int { return len(t.runs) + serviceCrashCost*t.serviceRuns }
 
-// serviceCrashCost is how many other tasks a service task outweighs.
-const serviceCrashCost = 100
-
-func (t *target) allSurvived() bool {
-	return !slices.ContainsFunc(t.orderedRuns, func(r *run) bool { return !r.survived() })
+func (t *target) allSettled(now time.Time) bool {
+	return !slices.ContainsFunc(t.orderedRuns, func(r *run) bool { return !r.settled(now) })
 }
--- a/internal/jobs/expire_test.go
+++ b/internal/jobs/expire_test.go
@@ -46,7 +46,7 @@
 	if commands := h.pool.TakeCommands(); len(commands) != 1 || commands[0] != (StopCommand{Target: "t0", Task: delayed.Task, Attempt: 7}) {
 		t.Errorf("commands %v, want a stop of the delayed start", commands)
 	}
-	h.pool.MarkUnreachable("t0")
+	h.pool.MarkUnreachable(h.now, "t0")
 	h.pool.PrepareHandover(h.now)
 	if records, _ := h.pool.BeginWrite(); len(records) != 0 {
 		t.Errorf("the job is stored again without its tasks: %+v", records[0])
--- a/internal/jobs/pool_test.go
+++ b/internal/jobs/pool_test.go
@@ -176,7 +176,7 @@
 	for i := range 3 {
 		h.deliverReport(work.TargetID(fmt.Sprintf("t%d", i)))
 	}
-	h.pool.MarkUnreachable(starts[0].Target)
+	h.pool.MarkUnreachable(h.now, starts[0].Target)
 	h.pool.Cordon(starts[1].Target, CordonMaintenance)
 	h.pool.Tick(h.now)
 	if got := h.pool.TakeCommands(); len(got) != 0 {
--- a/internal/jobs/sim_test.go
+++ b/internal/jobs/sim_test.go
@@ -361,7 +361,7 @@
 func (s *simulation) poll(o *simOwner, t *simTarget) {
 	fail := func() {
 		o.reachable[t.id] = false
-		o.pool.MarkUnreachable(t.id)
+		o.pool.MarkUnreachable(s.now, t.id)
 		if s.now.After(o.leaseExpires[t.id]) && !o.expired[t.id] {
 			o.expired[t.id] = true
 			o.pool.MarkLeaseExpired(s.now, t.id)
--- a/internal/jobs/target.go
+++ b/internal/jobs/target.go
@@ -17,6 +17,7 @@
 	lastHeard            time.Time
 	reportRequestedAt    time.Time      // when the newest handled run report was requested
 	unreachable          bool           // it did not answer the last request
+	unreachableSince     time.Time      // when it first did not answer; meaningful while unreachable is set
 	reserved             work.Resources // by its runs
 	runs                 map[runKey]*run
 	orderedRuns          []*run          // the same runs, in the order in which they were assigned
@@ -204,9 +205,9 @@
 }
 
 // MarkUnreachable notes that the target did not answer; it gets no new tasks until it does.
-func (p *Pool) MarkUnreachable(id work.TargetID) {
-	if t := p.targets[id]; t != nil {
-		t.unreachable = true
+func (p *Pool) MarkUnreachable(now time.Time, id work.TargetID) {
+	if t := p.targets[id]; t != nil && !t.unreachable {
+		t.unreachable, t.unreachableSince = true, now
 	}
 }
 
--- a/internal/shard/handler.go
+++ b/internal/shard/handler.go
@@ -38,7 +38,7 @@
 }
 
 func (h *agentHandler) Unreachable(id work.TargetID) {
-	h.shard.post(func(time.Time) { h.pool.MarkUnreachable(id) })
+	h.shard.post(func(now time.Time) { h.pool.MarkUnreachable(now, id) })
 }
 
 func (h *agentHandler) LeaseExpired(id work.TargetID) {
