soak: routes change, faults overlap, some runs are crowded

A third series of faults, over all daemons, overlaps the two that were there: reloads, planned stops and silent connections, several in a row. Routes are added all the time; a daemon that denies one that has been in the configuration for 2 s fails the test, whatever fault it is in. Each tenth seed runs 48 daemons.

--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -42,9 +42,13 @@
 
 const (
 	daemonCount   = 4
+	crowdedSeeds  = 10 // each tenth seed runs crowdedCount daemons
+	crowdedCount  = 48
 	faultPeriod   = 12 * time.Second // how long faults are injected
 	recoveryLimit = 40 * time.Second // after the last fault, all accepted jobs must be completed within this time
-	jobHost       = "desk.example"
+	// configApplyTime is the time after which a configuration is in force, the default of the daemons.
+	configApplyTime = 2 * time.Second
+	jobHost         = "desk.example"
 )
 
 // knownSeeds lists the seeds that failed once, with the cause. They run every time.
@@ -54,7 +58,7 @@
 }{}
 
 // TestSoak injects random faults into a group of daemons. It guards against accepted
-// jobs that are lost, refused jobs that run, jobs that run twice, and wrong job states.
+// jobs that are lost, refused jobs that run, jobs that run twice, wrong job states, and routes that are denied.
 func TestSoak(t *testing.T) {
 	for _, k := range knownSeeds {
 		t.Run(fmt.Sprintf("known-%d", k.seed), func(t *testing.T) { runSeed(t, k.seed) })
@@ -102,6 +106,9 @@
 func (p *daemonProcess) start() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.running() {
+		return // restarted by another series of faults
+	}
 	out, err := os.OpenFile(filepath.Join(p.dir, "log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		p.t.Error(err)
@@ -126,6 +133,19 @@
 	}(p.proc, p.exited)
 }
 
+// running reports whether the daemon has been started and has not exited. The caller holds p.mu.
+func (p *daemonProcess) running() bool {
+	if p.exited == nil {
+		return false
+	}
+	select {
+	case <-p.exited:
+		return false
+	default:
+		return true
+	}
+}
+
 // signal sends s to the daemon, and waits until the daemon has exited if s ends it.
 func (p *daemonProcess) signal(s syscall.Signal) {
 	p.mu.Lock()
@@ -164,6 +184,47 @@
 	}
 }
 
+// injectOverlapping injects a short series of reloads, restarts and cuts, of which some meet the faults of other series.
+func (p *daemonProcess) injectOverlapping(rng *rand.Rand, logf func(string, ...any)) {
+	for range 1 + rng.IntN(4) {
+		switch kind := rng.IntN(4); kind {
+		case 0:
+			logf("terminate %d beside other faults", p.index)
+			p.signal(syscall.SIGTERM)
+			p.start()
+		case 1:
+			logf("silent connections of %d", p.index)
+			p.relay.SetMode(fakes.RelayDropExisting)
+			time.Sleep(time.Duration(rng.IntN(300)) * time.Millisecond)
+			p.relay.SetMode(fakes.RelayPass)
+		default:
+			logf("reload %d", p.index)
+			p.signal(syscall.SIGHUP)
+		}
+	}
+}
+
+// changeRoutes adds a route every now and then until end, and requests one of those that have been in the configuration
+// for configApplyTime from a random daemon: none may deny it.
+func changeRoutes(ctx context.Context, t *testing.T, rng *rand.Rand, fleet *local.Fleet, daemons []*daemonProcess, end time.Time) {
+	routes := []string{"cut", "sew"}
+	var added []time.Time
+	for version := int64(2); time.Now().Before(end); version++ {
+		routes = append(routes, fmt.Sprintf("added-%d", version))
+		fleet.Configure(ctx, version, jobHost, routes)
+		added = append(added, time.Now())
+		for next := time.Now().Add(time.Duration(rng.IntN(800)) * time.Millisecond); time.Now().Before(next); time.Sleep(20 * time.Millisecond) {
+			n := rng.IntN(len(added))
+			if age := time.Since(added[n]); age > configApplyTime {
+				p := daemons[rng.IntN(len(daemons))]
+				if status, _ := call(http.MethodGet, p.clientAddr, "/"+routes[2+n]+"/", ""); status == http.StatusNotFound {
+					t.Errorf("daemon %d denies the route /%s/, %v after it was added", p.index, routes[2+n], age)
+				}
+			}
+		}
+	}
+}
+
 // outcomes records for each job, identified by its path, what the responses to its submissions said.
 type outcomes struct {
 	mu       sync.Mutex
@@ -182,8 +243,12 @@
 	}
 	defer fleet.Close()
 	fleet.Configure(ctx, 1, jobHost, []string{"cut", "sew"})
+	count := daemonCount
+	if seed%crowdedSeeds == 0 {
+		count = crowdedCount
+	}
 	var daemons []*daemonProcess
-	for n := range daemonCount {
+	for n := range count {
 		p := newDaemonProcess(t, n, fleet.Addr)
 		p.start()
 		daemons = append(daemons, p)
@@ -235,6 +300,15 @@
 			}
 		})
 	}
+	rng := rand.New(rand.NewPCG(seed, 200))
+	faults.Go(func() { changeRoutes(ctx, t, rng, fleet, daemons, end) })
+	overlapping := rand.New(rand.NewPCG(seed, 300))
+	faults.Go(func() {
+		for time.Now().Before(end) {
+			daemons[overlapping.IntN(len(daemons))].injectOverlapping(overlapping, logf)
+			time.Sleep(time.Duration(overlapping.IntN(1000)) * time.Millisecond)
+		}
+	})
 	clients.Wait()
 	faults.Wait()
 	o.check(t, daemons, fleet)
