jobcli: a reload at the start doesn't end the process

Cause: the handler was installed after the command line and the settings had been read; until then the default action of the signal ends the process.

Change: the handler is installed first. What is left is the time until main runs, in which no Go program has one.

--- a/internal/jobcli/main.go
+++ b/internal/jobcli/main.go
@@ -26,6 +26,8 @@
 // Main runs toucanjobd and returns its exit code.
 func Main(args []string) int {
 	code := exitOK
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP) // before the settings are read: without a handler the signal ends the process
 	cmd := &cli.Command{
 		Name:      "toucanjobd",
 		Usage:     "accept jobs, run them on the pools' targets and maintain the pools' capacity",
@@ -43,7 +45,7 @@
 				code = exitSettings
 				return err
 			}
-			if err = run(ctx, c.String("settings"), settings); err != nil {
+			if err = run(ctx, c.String("settings"), settings, reload); err != nil {
 				code = exitFailed
 			}
 			return err
@@ -73,15 +75,13 @@
 }
 
 // run runs the daemon until SIGINT or SIGTERM. It logs to standard output.
-func run(ctx context.Context, path string, s *jobd.Settings) error {
+func run(ctx context.Context, path string, s *jobd.Settings, reload <-chan os.Signal) error {
 	out := logio.New(os.Stdout)
 	defer out.Flush()
 	logger := hclog.New(&hclog.LoggerOptions{Level: hclog.LevelFromString(s.LogLevel), JSONFormat: true, Output: out})
 	ctx, cancel := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
 	defer cancel()
 	context.AfterFunc(ctx, cancel) // restores the default handling, so that a second signal ends the process
-	reload := make(chan os.Signal, 1)
-	signal.Notify(reload, syscall.SIGHUP)
 	d := &jobd.Daemon{
 		Settings: s, SettingsPath: path, Reload: reload, Platform: platform.New(s), Logger: logger, Clock: clock.SuspendAware(),
 	}
