soak: reloads wait until main runs

Before, the signal ends any process without a handler; the platform starts such a process again, the test doesn't.

--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -48,6 +48,7 @@
 	recoveryLimit = 40 * time.Second // after the last fault, all accepted jobs must be completed within this time
 	// configApplyTime is the time after which a configuration is in force, the default of the daemons.
 	configApplyTime = 2 * time.Second
+	execTime        = 100 * time.Millisecond
 	jobHost         = "desk.example"
 )
 
@@ -199,6 +200,7 @@
 			p.relay.SetMode(fakes.RelayPass)
 		default:
 			logf("reload %d", p.index)
+			time.Sleep(execTime) // without a handler, before main runs, the signal ends a process
 			p.signal(syscall.SIGHUP)
 		}
 	}
@@ -206,12 +208,12 @@
 
 // changeRoutes adds a route every now and then until end, and requests one of those that have been in the configuration
 // for configApplyTime from a random daemon: none may deny it.
-func changeRoutes(ctx context.Context, t *testing.T, rng *rand.Rand, fleet *local.Fleet, daemons []*daemonProcess, end time.Time) {
+func changeRoutes(t *testing.T, rng *rand.Rand, fleet *local.Fleet, daemons []*daemonProcess, end time.Time) {
 	routes := []string{"cut", "sew"}
 	var added []time.Time
 	for version := int64(2); time.Now().Before(end); version++ {
 		routes = append(routes, fmt.Sprintf("added-%d", version))
-		fleet.Configure(ctx, version, jobHost, routes)
+		fleet.Configure(t.Context(), version, jobHost, routes)
 		added = append(added, time.Now())
 		for next := time.Now().Add(time.Duration(rng.IntN(800)) * time.Millisecond); time.Now().Before(next); time.Sleep(20 * time.Millisecond) {
 			n := rng.IntN(len(added))
@@ -301,7 +303,7 @@
 		})
 	}
 	rng := rand.New(rand.NewPCG(seed, 200))
-	faults.Go(func() { changeRoutes(ctx, t, rng, fleet, daemons, end) })
+	faults.Go(func() { changeRoutes(t, rng, fleet, daemons, end) })
 	overlapping := rand.New(rand.NewPCG(seed, 300))
 	faults.Go(func() {
 		for time.Now().Before(end) {
