jobs: no suspect waits for ever, no crash goes unblamed for a cordon

Idle targets are cordoned to be lent, often between a start and the news of its crash.

Change: only survivors are excused; a target that is taken down on purpose has no others. Targets that are ready are preferred for trials, reserved for 1 s, and a suspect waits 10 s at most. A task that lasts is given up after three crashes of its own.

--- a/internal/blame/blame.go
+++ b/internal/blame/blame.go
@@ -5,8 +5,10 @@
 const (
 	// SurvivalTime is how long a task must have run, as its target reports, to be no cause of a later crash.
 	SurvivalTime = 500 * time.Millisecond
-	// maxSoleCrashes allows for one crash that has another cause, such as a loss of power.
-	maxSoleCrashes = 2
+	// maxSoleCrashes allows for one crash that has another cause, such as a loss of power. A task that lasts is given up
+	// later, since its job doesn't get another chance.
+	maxSoleCrashes        = 2
+	maxSoleCrashesLasting = 3
 	// maxCrashes bounds the damage of a task whose part in the crashes can't be told apart.
 	maxCrashes = 5
 )
@@ -29,5 +31,11 @@
 // OnTrial reports whether the task may start only where no other new task would share the blame.
 func (h History) OnTrial() bool { return h.Crashes > 0 }
 
-// GiveUp reports whether the task may not start again.
-func (h History) GiveUp() bool { return h.Sole >= maxSoleCrashes || h.Crashes >= maxCrashes }
+// GiveUp reports whether the task may not start again. Lasting says that it runs until its job is canceled.
+func (h History) GiveUp(lasting bool) bool {
+	limit := maxSoleCrashes
+	if lasting {
+		limit = maxSoleCrashesLasting
+	}
+	return h.Sole >= limit || h.Crashes >= maxCrashes
+}
--- a/internal/jobs/crash.go
+++ b/internal/jobs/crash.go
@@ -14,12 +14,16 @@
 	// settleTime is how soon after the start of its cause a crash breaks the connections to the target, and how long the
 	// target gets no other task during a trial.
 	settleTime = 250 * time.Millisecond
-	// maxTrialWait is how long a target is reserved for a suspect that can't start there.
-	maxTrialWait = 3 * time.Second
+	// maxTrialWait is how long a suspect waits for its trial; then it starts like other tasks.
+	maxTrialWait = 10 * time.Second
+	// maxReservation is how long a target is reserved for a suspect that can't start there.
+	maxReservation = time.Second
 	// trialShare is the inverse of the share of the usable targets that may be reserved for trials.
 	trialShare = 4
-	// serviceCrashCost is how many other tasks a service task outweighs in the choice of a target for a trial.
+	// serviceCrashCost and notReadyCost are the numbers of tasks that a service task, and a target that isn't ready, outweigh
+	// in the choice of a target for a trial.
 	serviceCrashCost = 100
+	notReadyCost     = 10_000
 )
 
 // suspect is a task under which a target has crashed.
@@ -52,11 +56,9 @@
 }
 
 // handleCrash blames the tasks that may have crashed the incarnations of a target before the given one, and fails the jobs
-// of those that are given up.
+// of those that are given up. A target that is taken down on purpose has none: it is draining or cordoned for longer than
+// blame.SurvivalTime before.
 func (p *Pool) handleCrash(now time.Time, t *target, incarnation int64) {
-	if t.Draining || t.cordon != NoCordon {
-		return // the VM was taken down on purpose
-	}
 	runs := t.crashSuspects(incarnation)
 	for _, r := range runs {
 		sole := !slices.ContainsFunc(runs, func(other *run) bool { return other.task != r.task && (other.step != r.step || !r.spec.Gang) })
@@ -99,7 +101,7 @@
 		Kind: EventCrash, Job: r.job.id, Task: r.key.task, Attempt: r.key.attempt, Target: r.target.ID,
 		Detail: fmt.Sprintf("one of %d tasks; crashes under it %d, without another cause %d", of, h.Crashes, h.Sole),
 	})
-	if !h.GiveUp() || r.job.finished() {
+	if !h.GiveUp(r.spec.Service) || r.job.finished() {
 		return
 	}
 	r.job.failed = true
@@ -116,12 +118,24 @@
 	return t.crashes.OnTrial() && !spec.Gang && p.queues[j.queue].Advice == nil
 }
 
+// awaitsTrial reports whether a suspect that could start like other tasks still waits for a trial.
+func (t *task) awaitsTrial(now time.Time) bool {
+	if t.trialDue.IsZero() {
+		t.trialDue = now.Add(maxTrialWait)
+	}
+	return now.Before(t.trialDue)
+}
+
 // endTrials releases the targets whose trials are over, or that can't be used for them.
 func (p *Pool) endTrials(now time.Time) {
 	for _, t := range p.trialTargets {
-		if t.trial.over(now, t) {
-			t.trial, p.replan = nil, true
+		if !t.trial.over(now, t) {
+			continue
+		}
+		if s := t.trial.suspect; s.task.run == nil { // it goes behind those whose targets may be ready
+			p.suspects = append(slices.DeleteFunc(p.suspects, func(x *suspect) bool { return x == s }), s)
 		}
+		t.trial, p.replan = nil, true
 	}
 	p.trialTargets = slices.DeleteFunc(p.trialTargets, func(t *target) bool { return t.trial == nil })
 }
@@ -132,7 +146,7 @@
 	case x.task.done, x.job.finished(), !t.usable(now):
 		return true
 	case r == nil:
-		return now.Sub(x.since) > maxTrialWait
+		return now.Sub(x.since) > maxReservation
 	default:
 		return r.target != t || r.settled(now)
 	}
@@ -149,7 +163,7 @@
 		if t == nil {
 			t = p.reserveForTrial(now, s, cs)
 		}
-		if t != nil && reservation(s.spec).Fits(t.Capacity.Minus(t.reserved)) && t.allSettled(now) {
+		if t != nil && t.ready(now, s) {
 			p.planRun(s.job, s.id.Occurrence, s.id.Step, s.id.Index, t, "")
 			p.emitPlanned(s.job)
 		}
@@ -174,7 +188,7 @@
 	}
 	var best *target
 	for _, t := range cs.targets {
-		if t.trial == nil && t.suits(s) && (best == nil || t.crashCost() < best.crashCost()) {
+		if t.trial == nil && t.suits(s) && (best == nil || t.trialCost(now, s) < best.trialCost(now, s)) {
 			best = t
 		}
 	}
@@ -204,9 +218,17 @@
 	return n
 }
 
-// crashCost ranks targets by the work that a crash would end. Service tasks are the dearest, since they are never done.
-func (t *target) crashCost() int { return len(t.runs) + serviceCrashCost*t.serviceRuns }
+// trialCost ranks targets by the work that a crash would end, those without room at present last. Service tasks are the
+// dearest, since they are never done.
+func (t *target) trialCost(now time.Time, s *suspect) int {
+	cost := len(t.runs) + serviceCrashCost*t.serviceRuns
+	if !t.ready(now, s) {
+		cost += notReadyCost
+	}
+	return cost
+}
 
-func (t *target) allSettled(now time.Time) bool {
-	return !slices.ContainsFunc(t.orderedRuns, func(r *run) bool { return !r.settled(now) })
+// ready reports whether a suspect can start on the target: there is room, and no other task is new.
+func (t *target) ready(now time.Time, s *suspect) bool {
+	return reservation(s.spec).Fits(t.Capacity.Minus(t.reserved)) && !slices.ContainsFunc(t.orderedRuns, func(r *run) bool { return !r.settled(now) })
 }
--- a/internal/jobs/job.go
+++ b/internal/jobs/job.go
@@ -60,6 +60,7 @@
 	stallStops  int       // how often a run was stopped because it made no progress
 	slowStops   int       // how often a run was stopped because its target seemed slow
 	crashes     blame.History
+	trialDue    time.Time     // when the task starts without a trial; zero while it doesn't wait for one
 	avoidTarget work.TargetID // target on which the last run failed or made too little progress
 }
 
--- a/internal/jobs/plan.go
+++ b/internal/jobs/plan.go
@@ -189,7 +189,7 @@
 			}
 			continue
 		}
-		if p.onTrial(j, spec, t) {
+		if p.onTrial(j, spec, t) && t.awaitsTrial(now) {
 			continue
 		}
 		k := cs.best(spec, t, advice, zone)
@@ -218,6 +218,7 @@
 	st := &j.occurrences[occurrence].steps[step]
 	tk := &st.tasks[index]
 	tk.attempt++
+	tk.trialDue = time.Time{}
 	id := work.TaskID{Job: j.id, Occurrence: occurrence, Step: step, Index: index}
 	r := &run{
 		key: runKey{id, tk.attempt}, job: j, task: tk, step: st, spec: &j.spec.Steps[step], incarnation: t.reportedIncarnation,
--- a/internal/jobs/sim_test.go
+++ b/internal/jobs/sim_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"testing"
 	"time"
@@ -99,6 +100,7 @@
 	accepted     map[work.JobID]*work.Spec
 	withdrawn    map[work.JobID]bool
 	failuresLeft map[work.TaskID]int
+	crashesUnder map[work.TaskID]int // how often a target has crashed that ran the task
 	trace        []string
 }
 
@@ -123,6 +125,7 @@
 		t: t, now: time.Unix(1_700_000_000, 0), store: map[work.JobID][]byte{}, storeUp: true,
 		done: map[work.TaskID]bool{}, canceled: map[work.JobID]time.Time{}, accepted: map[work.JobID]*work.Spec{},
 		withdrawn: map[work.JobID]bool{}, listedDown: map[work.TargetID]int64{}, failuresLeft: map[work.TaskID]int{},
+		crashesUnder: map[work.TaskID]int{},
 	}
 	state := seed | 1
 	s.rand = func(n int) int { // xorshift, which gives the same sequence for the same seed
@@ -580,6 +583,9 @@
 	switch n {
 	case 0: // the target crashes
 		if t.up {
+			for key := range t.runs {
+				s.crashesUnder[key.task]++
+			}
 			t.up, t.runs, t.ended = false, map[runKey]*simRun{}, nil
 		}
 	case 1: // the target restarts under the same id
@@ -650,6 +656,13 @@
 	if state == work.Canceled {
 		return
 	}
+	if state == work.Failed {
+		const minCrashes = 2 // a task under which fewer targets have crashed may not be given up
+		if !slices.ContainsFunc(slices.Collect(maps.Keys(s.crashesUnder)), func(task work.TaskID) bool { return task.Job == id && s.crashesUnder[task] >= minCrashes }) {
+			s.fail("job %s failed, but no %d targets have crashed under one of its tasks", id, minCrashes)
+		}
+		return
+	}
 	n := 0
 	for _, t := range s.targets {
 		for key := range t.runs {
