jobd: a bound that isn't set is 2 s

Settings that are built without a file, those of 'toucanjobd dev' and of the platform's end-to-end test, left the new bounds 0, and the daemon panicked.

--- a/internal/jobd/daemon.go
+++ b/internal/jobd/daemon.go
@@ -194,7 +194,7 @@
 	d.member.Init()
 	d.service = &Service{Partitions: s.Log.Partitions, PeerAddress: s.PeerAddress, Zone: s.Zone, Member: d.member, Owners: d.owners, PeerClient: peerClient, Clock: d.Clock, Logger: d.Logger}
 	d.service.Config = &configuration{
-		Platform: p, ApplyWithin: s.Bounds.ConfigApply.Duration, SetWave: d.service.setWave, SomePeers: d.owners.SomePeers, PeerClient: peerClient,
+		Platform: p, ApplyWithin: s.Bounds.configApply(), SetWave: d.service.setWave, SomePeers: d.owners.SomePeers, PeerClient: peerClient,
 		Clock: d.Clock, Logger: d.Logger,
 	}
 	d.service.Config.init()
@@ -263,7 +263,7 @@
 
 func (d *Daemon) newTargetWatcher() *watch.Watcher {
 	w := &watch.Watcher{
-		Log: d.Platform.Log, Partition: d.Platform.TargetsPartition, ApplyWithin: d.Settings.Bounds.Drain.Duration, ReadPause: targetsReadPause, Enabled: d.member.OwnsAny,
+		Log: d.Platform.Log, Partition: d.Platform.TargetsPartition, ApplyWithin: d.Settings.Bounds.drain(), ReadPause: targetsReadPause, Enabled: d.member.OwnsAny,
 		Replace: d.directory.Replace, Apply: d.directory.Apply, Clock: d.Clock, Logger: d.Logger,
 	}
 	w.Init()
--- a/internal/jobd/settings.go
+++ b/internal/jobd/settings.go
@@ -1,6 +1,7 @@
 package jobd
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"net"
@@ -48,8 +49,8 @@
 	Retention       config.Duration `toml:"retention"`     // how long a finished job remains visible
 	VMLease         config.Duration `toml:"machine_lease"` // how long a VM is left alone after an intent of a previous fleet controller
 	MaintenanceTime config.Duration `toml:"upkeep"`        // how long the maintenance of one VM takes
-	ConfigApply     config.Duration `toml:"config_apply"`  // a confirmed configuration is in force within this time
-	Drain           config.Duration `toml:"drain"`         // a target that announces its leave gets no new task after this time
+	ConfigApply     config.Duration `toml:"config_apply"`  // a confirmed configuration is in force within this time; 0 is 2 s
+	Drain           config.Duration `toml:"drain"`         // a target that announces its leave gets no new task after this time; 0 is 2 s
 }
 
 // SettingsEnv is the environment variable with the path of the settings file.
@@ -67,11 +68,8 @@
 func LoadSettings(path string) (*Settings, error) {
 	s := &Settings{
 		LogLevel: "info", ControlMode: controlModeInvoke, StopGrace: config.Duration{Duration: defaultStopGrace},
-		Bounds: BoundSettings{
-			Retention: config.Duration{Duration: defaultRetention}, RemoteCost: 1,
-			ConfigApply: config.Duration{Duration: defaultApplyTime}, Drain: config.Duration{Duration: defaultApplyTime},
-		},
-		Log: LogSettings{Partitions: defaultPartitions},
+		Bounds: BoundSettings{Retention: config.Duration{Duration: defaultRetention}, RemoteCost: 1},
+		Log:    LogSettings{Partitions: defaultPartitions},
 	}
 	if err := config.DecodeFile(path, s); err != nil {
 		return nil, err
@@ -122,8 +120,8 @@
 	if s.StopGrace.Duration <= 0 {
 		addError("grace = %v is not positive", s.StopGrace)
 	}
-	if s.Bounds.ConfigApply.Duration <= 0 || s.Bounds.Drain.Duration <= 0 {
-		addError("bounds.config_apply = %v, bounds.drain = %v: both must be positive", s.Bounds.ConfigApply, s.Bounds.Drain)
+	if s.Bounds.ConfigApply.Duration < 0 || s.Bounds.Drain.Duration < 0 {
+		addError("bounds.config_apply = %v, bounds.drain = %v: neither may be negative", s.Bounds.ConfigApply, s.Bounds.Drain)
 	}
 	switch s.LogLevel {
 	case "trace", "debug", "info", "warn", "error":
@@ -133,6 +131,14 @@
 	return errors.Join(errs...)
 }
 
+// configApply returns the time within which a confirmed configuration is in force.
+func (b *BoundSettings) configApply() time.Duration {
+	return cmp.Or(b.ConfigApply.Duration, defaultApplyTime)
+}
+
+// drain returns the time after which a leaving target gets no new task.
+func (b *BoundSettings) drain() time.Duration { return cmp.Or(b.Drain.Duration, defaultApplyTime) }
+
 // CPU returns the processor capacity of the VM; 0 if it is not known.
 func (s *Settings) CPU() work.Millicores { return work.Millicores(1000 * s.CPUShare * s.Cores) }
 
