blame: a target that may have been lost before the start is no evidence

The start got no answer, and the loss of that target counted as a second crash under the task, which gave it up. One target had crashed under it. Class: silence taken for evidence.

Change: two crashes decide only if the target had certainly started the task: it confirmed the start, or was heard of in the 100 ms before it. Otherwise a third one decides. At most five starts, as before; the users' rule allows five.

Evidence: TestTargetsLostBeforeTheStartAreNoEvidence fails without the change.

--- a/internal/blame/blame_test.go
+++ b/internal/blame/blame_test.go
@@ -3,24 +3,28 @@
 import "testing"
 
 func TestHistory(t *testing.T) {
-	const sole, shared = true, false
+	sole, shared, lost := Crash{Sole: true, Started: true}, Crash{Started: true}, Crash{Sole: true}
 	for _, test := range []struct {
 		name                           string
-		crashes                        []bool
+		crashes                        []Crash
 		onTrial, giveUp, lastingGiveUp bool
 	}{
 		{"no crash", nil, false, false, false},
-		{"a crash that another task may have caused", []bool{shared}, true, false, false},
-		{"a crash of its own, which may be a loss of power", []bool{sole}, true, false, false},
-		{"two crashes of its own", []bool{shared, sole, sole}, true, true, false},
-		{"three crashes of its own", []bool{sole, sole, sole}, true, true, true},
-		{"beside others every time", []bool{shared, shared, shared, shared}, true, false, false},
-		{"beside others five times", []bool{shared, shared, shared, shared, shared}, true, true, true},
+		{"a crash that another task may have caused", []Crash{shared}, true, false, false},
+		{"a crash of its own, which may be a loss of power", []Crash{sole}, true, false, false},
+		{"two crashes of its own", []Crash{shared, sole, sole}, true, true, false},
+		{"three crashes of its own", []Crash{sole, sole, sole}, true, true, true},
+		{"one that may have been lost before the start", []Crash{sole, lost}, true, false, false},
+		{"two that may have been lost before the start", []Crash{lost, lost}, true, false, false},
+		{"three that may have been lost before the start", []Crash{lost, lost, lost}, true, true, false},
+		{"four that may have been lost before the start", []Crash{lost, lost, lost, lost}, true, true, true},
+		{"beside others every time", []Crash{shared, shared, shared, shared}, true, false, false},
+		{"beside others five times", []Crash{shared, shared, shared, shared, shared}, true, true, true},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			var h History
-			for _, alone := range test.crashes {
-				h.Add(alone)
+			for _, crash := range test.crashes {
+				h.Add(crash)
 			}
 			if got := h.OnTrial(); got != test.onTrial {
 				t.Errorf("on trial %v, want %v", got, test.onTrial)
--- a/internal/jobs/crash_test.go
+++ b/internal/jobs/crash_test.go
@@ -93,12 +93,38 @@
 	}
 }
 
+// Guards against a job that is given up for targets that were lost before its task reached them.
+func TestTargetsLostBeforeTheStartAreNoEvidence(t *testing.T) {
+	h := newHarness(t, 3)
+	h.submit(smallStep)
+	confirmed := h.planAndCarryOut()[0]
+	h.crash(confirmed.Target)
+	h.now = h.now.Add(10 * maxReportAge) // without news of any target
+	h.crash(h.startUnheard().Target)
+	var third []StartCommand
+	for range 3 { // the restarted target stops the start that may arrive late
+		third = append(third, h.planAndCarryOut()...)
+		h.now = h.now.Add(h.pool.Bounds.StopTimeout)
+		for _, id := range []work.TargetID{"t0", "t1", "t2"} {
+			h.deliverReport(id)
+		}
+	}
+	if len(third) != 1 {
+		t.Fatalf("%d tasks start after one crash and one target that may have been lost before, want 1", len(third))
+	}
+	h.endRun(third[0].Target, third[0].Task, third[0].Attempt, work.EndDone)
+	h.planAndCarryOut()
+	if got, _ := h.pool.State("0000000000000001", h.pool.durable); got != work.Completed {
+		t.Errorf("state %s, want %s", got, work.Completed)
+	}
+}
+
 // Guards against a task that waits for a trial for ever, because no target gets ready for it.
 func TestTrialIsAwaitedOnlyForAWhile(t *testing.T) {
 	const suspected = work.JobID("0000000000000001")
 	h := newHarness(t, 1)
 	h.submit(smallStep)
-	h.pool.jobs[suspected].occurrences[0].steps[0].tasks[0].crashes.Add(false)
+	h.pool.jobs[suspected].occurrences[0].steps[0].tasks[0].crashes.Add(blame.Crash{Started: true})
 	h.pool.suspects = nil // no trial can be arranged
 	if starts := h.planAndCarryOut(); len(starts) != 0 {
 		t.Fatalf("%d tasks start without a trial, want none", len(starts))
--- a/internal/jobs/pool_test.go
+++ b/internal/jobs/pool_test.go
@@ -100,12 +100,18 @@
 
 // startWithoutResponse sends a start command that gets no response, and delivers a run report without the run.
 func (h *harness) startWithoutResponse() StartCommand {
+	start := h.startUnheard()
+	h.deliverReport(start.Target)
+	return start
+}
+
+// startUnheard sends a start command that gets no response.
+func (h *harness) startUnheard() StartCommand {
 	h.pool.Plan(h.now)
 	_, write := h.pool.BeginWrite()
 	h.pool.MarkDurable(h.now, write)
 	start := h.pool.TakeCommands()[0].(StartCommand)
 	h.pool.HandleStartResult(h.now, start.Target, start.Task, start.Attempt, StartNoResponse)
-	h.deliverReport(start.Target)
 	return start
 }
 
