blame: only a confirmed start is certain

Cause: took a target that was heard of in the 100 ms before the start for one that has certainly started the task. It may have been lost in between.

Change: two crashes without another cause decide if both starts were confirmed; else a third crash with which the task may have to do is needed.

--- a/internal/blame/blame.go
+++ b/internal/blame/blame.go
@@ -5,26 +5,26 @@
 const (
 	// SurvivalTime is how long a task must have run, as its target reports, to be no cause of a later crash.
 	SurvivalTime = 500 * time.Millisecond
-	// maxCertainCrashes allows for one crash that has another cause, such as a loss of power. A task that lasts is given up
+	// maxOwnCrashes allows for one crash that has another cause, such as a loss of power. A task that lasts is given up
 	// later, since its job doesn't get another chance.
-	maxCertainCrashes        = 2
-	maxCertainCrashesLasting = 3
+	maxOwnCrashes        = 2
+	maxOwnCrashesLasting = 3
 	// maxCrashes bounds the damage of a task whose part in the crashes can't be told apart.
 	maxCrashes = 5
 )
 
 // Crash is what is known about one crash with which a task may have to do.
 type Crash struct {
-	Sole    bool // no other task may be the cause
-	Started bool // the target had certainly started the task; otherwise it may have been lost before
+	Sole      bool // no other task may be the cause
+	Confirmed bool // the target had confirmed the start of the task; otherwise it may have been lost before
 }
 
 // History holds the crashes with which a task may have to do. The zero value is that of a task without any.
 type History struct {
-	_       struct{} `cbor:",toarray"`
-	Crashes int      // targets that crashed shortly after they had been told to start the task
-	Sole    int      // those of them that had started no other task shortly before
-	Certain int      // those of Sole that had certainly started the task
+	_         struct{} `cbor:",toarray"`
+	Crashes   int      // targets that crashed shortly after they had been told to start the task
+	Sole      int      // those of them that had started no other task shortly before
+	Confirmed int      // those of Sole that had confirmed the start
 }
 
 // Add notes a crash.
@@ -33,19 +33,20 @@
 	if c.Sole {
 		h.Sole++
 	}
-	if c.Sole && c.Started {
-		h.Certain++
+	if c.Sole && c.Confirmed {
+		h.Confirmed++
 	}
 }
 
 // OnTrial reports whether the task may start only where no other new task would share the blame.
 func (h History) OnTrial() bool { return h.Crashes > 0 }
 
-// GiveUp reports whether the task may not start again. Lasting says that it runs until its job is canceled.
+// GiveUp reports whether the task may not start again. Lasting says that it runs until its job is canceled. Where a
+// start was not confirmed, one more crash is needed.
 func (h History) GiveUp(lasting bool) bool {
-	limit := maxCertainCrashes
+	limit := maxOwnCrashes
 	if lasting {
-		limit = maxCertainCrashesLasting
+		limit = maxOwnCrashesLasting
 	}
-	return h.Certain >= limit || h.Sole > limit || h.Crashes >= maxCrashes
+	return h.Confirmed >= limit || h.Sole >= limit && h.Crashes > limit || h.Crashes >= maxCrashes
 }
--- a/internal/blame/blame_test.go
+++ b/internal/blame/blame_test.go
@@ -3,7 +3,7 @@
 import "testing"
 
 func TestHistory(t *testing.T) {
-	sole, shared, lost := Crash{Sole: true, Started: true}, Crash{Started: true}, Crash{Sole: true}
+	sole, shared, lost := Crash{Sole: true, Confirmed: true}, Crash{Confirmed: true}, Crash{Sole: true}
 	for _, test := range []struct {
 		name                           string
 		crashes                        []Crash
@@ -16,6 +16,7 @@
 		{"three crashes of its own", []Crash{sole, sole, sole}, true, true, true},
 		{"one that may have been lost before the start", []Crash{sole, lost}, true, false, false},
 		{"two that may have been lost before the start", []Crash{lost, lost}, true, false, false},
+		{"one beside others, two that may have been lost before the start", []Crash{shared, lost, lost}, true, true, false},
 		{"three that may have been lost before the start", []Crash{lost, lost, lost}, true, true, false},
 		{"four that may have been lost before the start", []Crash{lost, lost, lost, lost}, true, true, true},
 		{"beside others every time", []Crash{shared, shared, shared, shared}, true, false, false},
--- a/internal/jobs/crash.go
+++ b/internal/jobs/crash.go
@@ -14,8 +14,6 @@
 	// settleTime is how soon after the start of its cause a crash breaks the connections to the target, and how long the
 	// target gets no other task during a trial.
 	settleTime = 250 * time.Millisecond
-	// maxReportAge is how old a target's last report may be for the target to have certainly received a start.
-	maxReportAge = 100 * time.Millisecond
 	// maxTrialWait is how long a suspect waits for its trial; then it starts like other tasks.
 	maxTrialWait = 10 * time.Second
 	// maxReservation is how long a target is reserved for a suspect that can't start there.
@@ -52,12 +50,6 @@
 	return r.startSentAt.IsZero() || r.target.lastHeard.Sub(r.startSentAt) >= blame.SurvivalTime
 }
 
-// certainlyStarted reports whether the target had started the run before it was lost: it confirmed the start, or it was
-// heard of just before the start was sent.
-func (r *run) certainlyStarted() bool {
-	return !r.startedAt.IsZero() || r.startSentAt.Sub(r.target.lastHeard) <= maxReportAge
-}
-
 // settled reports whether the target has confirmed the start of the run and has not been lost for a while since.
 func (r *run) settled(now time.Time) bool {
 	return !r.startedAt.IsZero() && !r.target.unreachable && now.Sub(r.startSentAt) >= settleTime
@@ -70,7 +62,7 @@
 	runs := t.crashSuspects(incarnation)
 	for _, r := range runs {
 		sole := !slices.ContainsFunc(runs, func(other *run) bool { return other.task != r.task && (other.step != r.step || !r.spec.Gang) })
-		p.blame(now, r, blame.Crash{Sole: sole, Started: r.certainlyStarted()}, len(runs))
+		p.blame(now, r, blame.Crash{Sole: sole, Confirmed: !r.startedAt.IsZero()}, len(runs))
 	}
 }
 
@@ -107,7 +99,7 @@
 	p.markDirty(r.job)
 	p.emit(Event{
 		Kind: EventCrash, Job: r.job.id, Task: r.key.task, Attempt: r.key.attempt, Target: r.target.ID,
-		Detail: fmt.Sprintf("one of %d tasks; certainly started: %v; crashes under it %d, without another cause %d, of these certainly started %d", of, crash.Started, h.Crashes, h.Sole, h.Certain),
+		Detail: fmt.Sprintf("one of %d tasks; start confirmed: %v; crashes under it %d, without another cause %d, of these with confirmed starts %d", of, crash.Confirmed, h.Crashes, h.Sole, h.Confirmed),
 	})
 	if !h.GiveUp(r.spec.Service) || r.job.finished() {
 		return
--- a/internal/jobs/crash_test.go
+++ b/internal/jobs/crash_test.go
@@ -99,7 +99,6 @@
 	h.submit(smallStep)
 	confirmed := h.planAndCarryOut()[0]
 	h.crash(confirmed.Target)
-	h.now = h.now.Add(10 * maxReportAge) // without news of any target
 	h.crash(h.startUnheard().Target)
 	var third []StartCommand
 	for range 3 { // the restarted target stops the start that may arrive late
@@ -124,7 +123,7 @@
 	const suspected = work.JobID("0000000000000001")
 	h := newHarness(t, 1)
 	h.submit(smallStep)
-	h.pool.jobs[suspected].occurrences[0].steps[0].tasks[0].crashes.Add(blame.Crash{Started: true})
+	h.pool.jobs[suspected].occurrences[0].steps[0].tasks[0].crashes.Add(blame.Crash{})
 	h.pool.suspects = nil // no trial can be arranged
 	if starts := h.planAndCarryOut(); len(starts) != 0 {
 		t.Fatalf("%d tasks start without a trial, want none", len(starts))
