jobs: a start relies on the room that its target has when it is sent

What callers would see: LIMIT, a target over its capacity, or a task that starts on a target that has begun to drain, and ends with it (DRAIN).

Cause: a run is planned with the capacity that the target has then, and its start is sent when its record is durable. While the log leaves the write unanswered, that takes seconds; nothing looked at the target again. Class: a check and its act are apart by a call that waits.

Change: when the record is durable, the run is withdrawn if its target drains or the reserved resources don't fit into its capacity any more; the task is planned again. The other members of a gang are withdrawn with it.

--- a/internal/jobs/pool.go
+++ b/internal/jobs/pool.go
@@ -254,6 +254,8 @@
 	for _, r := range p.awaitingWrite {
 		switch {
 		case r.state != runPlanned:
+		case r.write <= write && !r.target.acceptsPlanned():
+			p.withdrawPlanned(now, r)
 		case r.write <= write:
 			p.sendStart(now, r)
 		default:
--- a/internal/jobs/pool_test.go
+++ b/internal/jobs/pool_test.go
@@ -135,6 +135,51 @@
 	}
 }
 
+// Guards against tasks that start on a target that has changed while the record of their run was being written.
+func TestTargetChangesBeforeStart(t *testing.T) {
+	full := work.Resources{CPU: 16000, Memory: 65536}
+	pair := work.Step{Count: 2, Need: work.Resources{CPU: 1000, Memory: 100}, Estimate: time.Second}
+	gang := pair
+	gang.Gang = true
+	for _, test := range []struct {
+		name string
+		step work.Step
+		now  work.Registration // of the only target, once the runs are planned
+		want int               // starts
+	}{
+		{"unchanged", pair, work.Registration{Capacity: full}, 2},
+		{"shrunk, with room for all", pair, work.Registration{Capacity: work.Resources{CPU: 2000, Memory: 200}}, 2},
+		{"shrunk, with room for one", pair, work.Registration{Capacity: work.Resources{CPU: 1500, Memory: 65536}}, 1},
+		{"shrunk, with too little memory", pair, work.Registration{Capacity: work.Resources{CPU: 16000, Memory: 50}}, 0},
+		{"gang on a shrunk target", gang, work.Registration{Capacity: work.Resources{CPU: 1500, Memory: 65536}}, 0},
+		{"draining", pair, work.Registration{Capacity: full, Draining: true}, 0},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			h := newHarness(t, 1)
+			h.submit(test.step)
+			h.pool.Plan(h.now)
+			_, write := h.pool.BeginWrite()
+			test.now.ID, test.now.Pool, test.now.Incarnation = "t0", "pool", 1000
+			h.pool.Register(h.now, test.now)
+			h.pool.MarkDurable(h.now, write)
+			starts := 0
+			for _, cmd := range h.pool.TakeCommands() {
+				if _, ok := cmd.(StartCommand); ok {
+					starts++
+				}
+			}
+			if starts != test.want {
+				t.Errorf("%d tasks start, want %d", starts, test.want)
+			}
+			h.register("t0") // it is as before
+			h.planAndCarryOut()
+			if got := len(h.pool.targets["t0"].runs); got != 2 {
+				t.Errorf("%d runs once the target is as before, want 2", got)
+			}
+		})
+	}
+}
+
 // Guards against targets that forget the ends of runs before the ends are stored.
 func TestEndIsAcknowledgedOnceDurable(t *testing.T) {
 	h := newHarness(t, 1)
--- a/internal/jobs/run.go
+++ b/internal/jobs/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 	"time"
 
@@ -167,6 +168,20 @@
 // dropPlanned removes a run whose start command was never sent.
 func (p *Pool) dropPlanned(r *run) { p.detach(r) }
 
+// acceptsPlanned reports whether the target may still be told to start the runs that are planned for it. The writes of their records
+// may have taken seconds, in which it has begun to drain or has lost capacity.
+func (t *target) acceptsPlanned() bool {
+	return !t.Draining && t.reserved.Fits(t.Capacity)
+}
+
+// withdrawPlanned removes a planned run whose target doesn't accept it any more, and the other members of its gang.
+func (p *Pool) withdrawPlanned(now time.Time, r *run) {
+	detail := fmt.Sprintf("not sent: draining %v, reserved %+v of %+v", r.target.Draining, r.target.reserved, r.target.Capacity)
+	p.emit(Event{Kind: EventRejected, Job: r.key.task.Job, Task: r.key.task, Attempt: r.key.attempt, Target: r.target.ID, Detail: detail})
+	p.dropPlanned(r)
+	p.stopGang(now, r, "another gang member was not sent")
+}
+
 // sendStart sends the start command of a run whose record is durable.
 func (p *Pool) sendStart(now time.Time, r *run) {
 	r.state, r.conclusiveSince, r.startSentAt = runStartSent, now, now
