jobs: a shrunk target takes no capacity from the others

What callers would see: jobs refused or ranked as if the pool were smaller, while a target that holds service tasks has less capacity than they reserve.

Cause: the capacity left beside service tasks was added up as it is, below zero for such a target. It was added up in two places.

Change: it counts as zero; one function for both.

--- a/internal/jobs/plan.go
+++ b/internal/jobs/plan.go
@@ -59,7 +59,7 @@
 	sum := work.Millicores(0)
 	for _, t := range p.targets {
 		if t.registered && !t.Draining && t.cordon == NoCordon && !t.unreachable && t.reportedIncarnation != 0 {
-			sum += t.Capacity.CPU - t.serviceCPU
+			sum += max(0, t.Capacity.CPU-t.serviceCPU) // a target that has shrunk may hold service tasks over its capacity
 		}
 	}
 	return float64(sum) / 1000
--- a/internal/jobs/steps_test.go
+++ b/internal/jobs/steps_test.go
@@ -299,3 +299,14 @@
 		t.Errorf("%d tasks start again although only an earlier incarnation has ended, want none", len(got))
 	}
 }
+
+// Guards against jobs that are refused because a shrunk target takes capacity from the others.
+func TestShrunkTargetTakesNoCapacity(t *testing.T) {
+	h := newHarness(t, 2)
+	h.submit(work.Step{Count: 1, Need: work.Resources{CPU: 8000, Memory: 100}, Service: true})
+	shrunk := h.planAndCarryOut()[0].Target
+	h.pool.Register(h.now, work.Registration{ID: shrunk, Pool: "pool", Incarnation: 1000, Capacity: work.Resources{CPU: 4000, Memory: 65536}})
+	if got, want := h.pool.load(h.now).Capacity, 16.0; got != want {
+		t.Errorf("capacity %v cores beside service tasks, want the %v of the other target", got, want)
+	}
+}
--- a/internal/jobs/tick.go
+++ b/internal/jobs/tick.go
@@ -211,18 +211,16 @@
 
 // load returns the backlog and the capacity of the pool, for the decision whether to admit a job.
 func (p *Pool) load(now time.Time) admit.Load {
-	l := admit.Load{Jobs: len(p.active), Reserve: float64(p.reserve) / 1000, CapacityUnknown: !p.directed || now.Sub(p.OwnedSince) < takeoverGrace}
+	l := admit.Load{
+		Jobs: len(p.active), Capacity: p.usableCores(), Reserve: float64(p.reserve) / 1000,
+		CapacityUnknown: !p.directed || now.Sub(p.OwnedSince) < takeoverGrace,
+	}
 	for _, j := range p.active {
 		if !j.spec.HasServiceStep() {
 			_, total := p.remaining(j)
 			l.Backlog += total
 		}
 	}
-	for _, t := range p.sortedTargets() {
-		if t.registered && !t.Draining && t.cordon == NoCordon && !t.unreachable && t.reportedIncarnation != 0 {
-			l.Capacity += float64(t.Capacity.CPU-t.serviceCPU) / 1000
-		}
-	}
 	return l
 }
 
