peer: the losing one of two links made at once delivers its messages

Cause: b accepts a link that c has dialed, and queues messages on it. Before c's dial has returned, b dials c, and c attaches that link, which wins. c's own link then loses as a duplicate and c closed it, with the messages that b had sent.

Change: a link that the other side has accepted, and that loses, is drained like one that is replaced, before the messages of the winner.

Evidence: TestLosingLinkDeliversItsMessages sets the case up; without the drain, or without the wait, "message 50 arrived as number 0".

--- a/internal/peer/dial.go
+++ b/internal/peer/dial.go
@@ -81,8 +81,25 @@
 	go n.dial(m, m.address)
 }
 
+// beginDial notes that a dial to an address is in progress, and returns a function that ends it.
+func (n *Node) beginDial(address string) (end func()) {
+	done := make(chan struct{})
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.dials[address] = done
+	return func() {
+		close(done)
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		if n.dials[address] == done {
+			delete(n.dials, address)
+		}
+	}
+}
+
 // dial tries to link with a member.
 func (n *Node) dial(m *member, address string) {
+	defer n.beginDial(address)()
 	s, err := n.dialLink(n.ctx, address)
 	if err == nil {
 		n.startDialed(s)
@@ -112,6 +129,7 @@
 }
 
 func (n *Node) dialSeed(address string, d *dialState) {
+	defer n.beginDial(address)()
 	s, err := n.dialLink(n.ctx, address)
 	n.mu.Lock()
 	d.dialing = false
@@ -138,7 +156,7 @@
 			_ = s.writeFrame(n.ctx, [][]byte{data}) // on failure it is told at the next attempt
 		}
 	}
-	if reason != accepted {
+	if reason != accepted && reason != duplicateLink {
 		s.close()
 		return
 	}
--- a/internal/peer/members.go
+++ b/internal/peer/members.go
@@ -72,6 +72,9 @@
 	}
 	if old := m.session; old != nil && !old.ended() {
 		if n.preferred(old) && !n.preferred(s) && old.remote.Incarnation == s.remote.Incarnation {
+			if s.dialedBySelf { // the other side has accepted it before the present one
+				m.attachSuperseded(s)
+			}
 			return duplicateLink
 		}
 		if old.remote.Incarnation == s.remote.Incarnation && m.State == Up {
@@ -84,6 +87,9 @@
 	changed := m.Incarnation != s.remote.Incarnation || m.Zone != s.remote.Zone || m.State != Up
 	m.session, m.lastHeard = s, n.Clock.Now()
 	s.deliveryMu = &m.deliveryMu
+	if !s.dialedBySelf {
+		s.dial = n.dials[s.remote.Address]
+	}
 	m.Incarnation, m.Zone, m.State = s.remote.Incarnation, s.remote.Zone, Up
 	if !m.listed {
 		m.address = s.remote.Address
@@ -101,6 +107,18 @@
 	return accepted
 }
 
+// attachSuperseded makes a session that loses to the member's present one deliver what the other side has queued on it,
+// before the messages of the present one. If these are being delivered already, the session is closed, since the order
+// would be lost. The caller holds Node.mu.
+func (m *member) attachSuperseded(s *session) {
+	if m.session.delivering {
+		s.close()
+		return
+	}
+	s.deliveryMu, s.replaced, m.session.replaced = &m.deliveryMu, m.session.replaced, s
+	s.supersede()
+}
+
 // preferred reports whether the session was dialed by the entry with the lower id.
 func (n *Node) preferred(s *session) bool { return s.dialedBySelf == (n.ID < s.remote.ID) }
 
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -55,6 +55,7 @@
 	incarnation    uint64
 	members        map[ident.EntryID]*member
 	seeds          map[string]*dialState
+	dials          map[string]chan struct{} // dials in progress by address; a channel is closed when its dial has ended
 	loggedRefusals map[string]bool
 	handlers       []func(ident.EntryID, wire.Message)
 	onView         []func(*View)
@@ -69,6 +70,7 @@
 		started:        c.Now(),
 		members:        map[ident.EntryID]*member{},
 		seeds:          map[string]*dialState{},
+		dials:          map[string]chan struct{}{},
 		loggedRefusals: map[string]bool{},
 		viewsChanged:   make(chan struct{}, 1),
 		selfQueue:      newSelfQueue(),
@@ -182,6 +184,7 @@
 		}
 		s.close()
 	}()
+	s.waitForDial()
 	n.waitForReplaced(s)
 	for !s.ended() {
 		messages, err := s.readFrame(n.ctx)
@@ -201,18 +204,23 @@
 	}
 }
 
-// waitForReplaced waits until the messages of the replaced session have been delivered or are lost.
+// waitForReplaced waits until the messages of the replaced sessions have been delivered or are lost.
 func (n *Node) waitForReplaced(s *session) {
-	n.mu.Lock()
-	old := s.replaced
-	n.mu.Unlock()
-	if old == nil {
-		return
+	for {
+		n.mu.Lock()
+		old := s.replaced
+		s.delivering = old == nil
+		n.mu.Unlock()
+		if old == nil {
+			return
+		}
+		old.waitDrained(s.done)
+		n.mu.Lock()
+		if s.replaced == old {
+			s.replaced = nil
+		}
+		n.mu.Unlock()
 	}
-	old.waitDrained(s.done)
-	n.mu.Lock()
-	s.replaced = nil
-	n.mu.Unlock()
 }
 
 // deliver handles one message and reports whether the session continues. The lock keeps the order between successive
--- a/internal/peer/node_test.go
+++ b/internal/peer/node_test.go
@@ -189,6 +189,47 @@
 	}
 }
 
+// Guards against messages that are lost when both sides dial at the same time, and the dialer of the second link finds that
+// it loses to the first one only after the other side has queued messages on it.
+func TestLosingLinkDeliversItsMessages(t *testing.T) {
+	lb, lc := listenLocal(t), listenLocal(t)
+	b, c := startNode(t, "b", lb, nil), startNode(t, "c", lc, nil)
+	endDial := c.beginDial(lb.Addr().String())
+	losing, err := c.dialLink(t.Context(), lb.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	waitFor(t, "b to accept the link", b.sees("c", Up))
+	const count = 100
+	send := func(from, to int) {
+		for i := from; i < to; i++ {
+			if err := b.Send("c", note{N: i}); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	send(0, count/2)
+	winning, err := b.dialLink(t.Context(), lc.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.startDialed(winning)
+	send(count/2, count)
+	time.Sleep(20 * time.Millisecond) // the messages on the winning link have arrived
+	c.startDialed(losing)
+	endDial()
+	for i := range count {
+		select {
+		case got := <-c.got:
+			if got != i {
+				t.Fatalf("message %d arrived as number %d", got, i)
+			}
+		case <-time.After(10 * time.Second):
+			t.Fatalf("message %d did not arrive", i)
+		}
+	}
+}
+
 // Guards against accepting a wrong key, and against logging each refusal.
 func TestWrongKey(t *testing.T) {
 	la := listenLocal(t)
--- a/internal/peer/session.go
+++ b/internal/peer/session.go
@@ -38,8 +38,10 @@
 	supersedeOnce sync.Once
 	drained       chan struct{} // closed when the other side's lastMessage has arrived
 	drainOnce     sync.Once
-	replaced      *session    // the session that this one replaced, whose messages are delivered first; guarded by Node.mu
-	deliveryMu    *sync.Mutex // the member's deliveryMu; orders deliveries of successive sessions
+	dial          <-chan struct{} // closed when a dial to the same entry has ended that was in progress when the session began; may be nil
+	replaced      *session        // the session that this one replaced, whose messages are delivered first; guarded by Node.mu
+	delivering    bool            // no other session's messages are delivered first any more; guarded by Node.mu
+	deliveryMu    *sync.Mutex     // the member's deliveryMu; orders deliveries of successive sessions
 	*messageQueue
 }
 
@@ -54,6 +56,21 @@
 // supersede makes the session send its queued messages, and end once the other side has done the same.
 func (s *session) supersede() { s.supersedeOnce.Do(func() { close(s.superseded) }) }
 
+// waitForDial waits until the outcome of a dial to the same entry is known: the other side may have accepted it before
+// this session, and have queued messages there. It waits for drainLimit at most.
+func (s *session) waitForDial() {
+	if s.dial == nil {
+		return
+	}
+	limit := time.NewTimer(drainLimit)
+	defer limit.Stop()
+	select {
+	case <-s.dial:
+	case <-s.done:
+	case <-limit.C:
+	}
+}
+
 // waitDrained waits until the last message of a replaced session has been delivered, the session has ended or canceled
 // is closed. After drainLimit it ends the session.
 func (s *session) waitDrained(canceled <-chan struct{}) {
