blame: crashes around takeovers count towards the limit

Cause: a new owner doesn't know when the previous one has started a run, so it blamed nobody for a crash under it. Class: a count that only its first holder keeps.

Change: a crash of a target that hasn't reported the run to the new owner counts as inherited: one alone has no effect, since all tasks of a lost zone have one; two put the task on trial; five crashes of any kind give it up. Service tasks are left out. The record keeps the count.

--- a/internal/blame/blame.go
+++ b/internal/blame/blame.go
@@ -17,6 +17,7 @@
 type Crash struct {
 	Sole      bool // no other task may be the cause
 	Confirmed bool // the target had confirmed the start of the task; otherwise it may have been lost before
+	Inherited bool // a previous owner started the task, so that it is not known for how long it had run
 }
 
 // History holds the crashes with which a task may have to do. The zero value is that of a task without any.
@@ -25,10 +26,15 @@
 	Crashes   int      // targets that crashed shortly after they had been told to start the task
 	Sole      int      // those of them that had started no other task shortly before
 	Confirmed int      // those of Sole that had confirmed the start
+	Inherited int      // targets that crashed around a takeover while they may have run the task; not among Crashes
 }
 
 // Add notes a crash.
 func (h *History) Add(c Crash) {
+	if c.Inherited {
+		h.Inherited++
+		return
+	}
 	h.Crashes++
 	if c.Sole {
 		h.Sole++
@@ -38,8 +44,9 @@
 	}
 }
 
-// OnTrial reports whether the task may start only where no other new task would share the blame.
-func (h History) OnTrial() bool { return h.Crashes > 0 }
+// OnTrial reports whether the task may start only where no other new task would share the blame. One inherited crash is not
+// enough: if a zone is lost with the owner, all tasks there have one.
+func (h History) OnTrial() bool { return h.Crashes > 0 || h.Inherited > 1 }
 
 // GiveUp reports whether the task may not start again. Lasting says that it runs until its job is canceled. Where a
 // start was not confirmed, one more crash is needed.
@@ -48,5 +55,5 @@
 	if lasting {
 		limit = maxOwnCrashesLasting
 	}
-	return h.Confirmed >= limit || h.Sole >= limit && h.Crashes > limit || h.Crashes >= maxCrashes
+	return h.Confirmed >= limit || h.Sole >= limit && h.Crashes > limit || h.Crashes+h.Inherited >= maxCrashes
 }
--- a/internal/blame/blame_test.go
+++ b/internal/blame/blame_test.go
@@ -3,7 +3,7 @@
 import "testing"
 
 func TestHistory(t *testing.T) {
-	sole, shared, lost := Crash{Sole: true, Confirmed: true}, Crash{Confirmed: true}, Crash{Sole: true}
+	sole, shared, lost, inherited := Crash{Sole: true, Confirmed: true}, Crash{Confirmed: true}, Crash{Sole: true}, Crash{Inherited: true}
 	for _, test := range []struct {
 		name                           string
 		crashes                        []Crash
@@ -20,6 +20,10 @@
 		{"three that may have been lost before the start", []Crash{lost, lost, lost}, true, true, false},
 		{"four that may have been lost before the start", []Crash{lost, lost, lost, lost}, true, true, true},
 		{"beside others every time", []Crash{shared, shared, shared, shared}, true, false, false},
+		{"one around a takeover", []Crash{inherited}, false, false, false},
+		{"two around takeovers", []Crash{inherited, inherited}, true, false, false},
+		{"around takeovers and beside others, four times", []Crash{inherited, shared, inherited, inherited}, true, false, false},
+		{"around takeovers and beside others, five times", []Crash{inherited, shared, inherited, inherited, inherited}, true, true, true},
 		{"beside others five times", []Crash{shared, shared, shared, shared, shared}, true, true, true},
 	} {
 		t.Run(test.name, func(t *testing.T) {
--- a/internal/jobs/crash.go
+++ b/internal/jobs/crash.go
@@ -41,8 +41,8 @@
 	since time.Time
 }
 
-// survived reports whether the run's target has reported long enough after its start. Runs of previous owners count as
-// survivors, since it is not known when they started.
+// survived reports whether the run's target has reported long enough after its start. It reports true for
+// runs of previous owners, since it is not known when they started.
 func (r *run) survived() bool {
 	if r.state == runPlanned {
 		return false
@@ -64,6 +64,12 @@
 		sole := !slices.ContainsFunc(runs, func(other *run) bool { return other.task != r.task && (other.step != r.step || !r.spec.Gang) })
 		p.blame(now, r, blame.Crash{Sole: sole, Confirmed: !r.startedAt.IsZero()}, len(runs))
 	}
+	for _, r := range t.runList() {
+		// A service task is not blamed: it may have run for days.
+		if r.inherited && r.task != nil && !r.spec.Service && r.incarnation != 0 && r.incarnation < incarnation {
+			p.blame(now, r, blame.Crash{Inherited: true}, len(runs))
+		}
+	}
 }
 
 // crashSuspects returns the runs that can be the cause of a crash of the target's incarnations before the given one: the
@@ -92,14 +98,15 @@
 // blame adds a crash to the history of a run's task.
 func (p *Pool) blame(now time.Time, r *run, crash blame.Crash, of int) {
 	h := &r.task.crashes
-	if !h.OnTrial() {
+	wasOnTrial := h.OnTrial()
+	h.Add(crash)
+	if h.OnTrial() && !wasOnTrial {
 		p.suspects = append(p.suspects, &suspect{id: r.key.task, job: r.job, task: r.task, step: r.step, spec: r.spec})
 	}
-	h.Add(crash)
 	p.markDirty(r.job)
 	p.emit(Event{
 		Kind: EventCrash, Job: r.job.id, Task: r.key.task, Attempt: r.key.attempt, Target: r.target.ID,
-		Detail: fmt.Sprintf("one of %d tasks; start confirmed: %v; crashes under it %d, without another cause %d, of these with confirmed starts %d", of, crash.Confirmed, h.Crashes, h.Sole, h.Confirmed),
+		Detail: fmt.Sprintf("one of %d tasks; start confirmed: %v; crashes under it %d, without another cause %d, of these with confirmed starts %d, around takeovers %d", of, crash.Confirmed, h.Crashes, h.Sole, h.Confirmed, h.Inherited),
 	})
 	if !h.GiveUp(r.spec.Service) || r.job.finished() {
 		return
--- a/internal/jobs/crash_test.go
+++ b/internal/jobs/crash_test.go
@@ -144,21 +144,7 @@
 		start := h.startWithoutResponse()
 		h.crash(start.Target)
 	}
-	h.pool.Plan(h.now)
-	records, _ := h.pool.BeginWrite()
-	if len(records) != 1 {
-		t.Fatalf("%d records, want 1", len(records))
-	}
-	encoded, err := records[0].Encode()
-	if err != nil {
-		t.Fatal(err)
-	}
-	restored, err := DecodeRecord(encoded)
-	if err != nil {
-		t.Fatal(err)
-	}
-	next := newHarness(t, 2)
-	next.pool.Restore(next.now, restored)
+	next := h.takeOver(2)
 	got := next.pool.jobs[deadly].occurrences[0].steps[0].tasks[0].crashes
 	if want := h.pool.jobs[deadly].occurrences[0].steps[0].tasks[0].crashes; got != want {
 		t.Errorf("crashes %+v after the takeover, want %+v", got, want)
@@ -168,6 +154,53 @@
 	}
 }
 
+// Guards against a task that crashes target after target because each crash falls into a takeover.
+func TestCrashesAroundTakeoversCount(t *testing.T) {
+	const (
+		deadly    = work.JobID("0000000000000001")
+		maxStarts = 5 // three more after three crashes are too many
+	)
+	h := newHarness(t, 2)
+	h.submit(smallStep)
+	for starts := 1; ; starts++ {
+		start := h.startUnheard()
+		if starts > maxStarts {
+			t.Fatalf("start %d of the task, want at most %d", starts, maxStarts)
+		}
+		h = h.takeOver(2)
+		h.crash(start.Target)
+		if state, _ := h.pool.State(deadly, h.pool.NextWrite()); state == work.Failed {
+			return
+		}
+	}
+}
+
+// takeOver returns the harness of the next owner, which knows the jobs from their records.
+func (h *harness) takeOver(targets int) *harness {
+	h.t.Helper()
+	for _, j := range h.pool.jobs {
+		h.pool.markDirty(j)
+	}
+	records, _ := h.pool.BeginWrite()
+	next := newHarness(h.t, 0)
+	next.now, next.crashes, next.pool.Fence = h.now, h.crashes, h.pool.Fence+1
+	for _, r := range records {
+		encoded, err := r.Encode()
+		if err != nil {
+			h.t.Fatal(err)
+		}
+		restored, err := DecodeRecord(encoded)
+		if err != nil {
+			h.t.Fatal(err)
+		}
+		next.pool.Restore(next.now, restored)
+	}
+	for i := range targets {
+		next.register(work.TargetID(fmt.Sprintf("t%d", i)))
+	}
+	return next
+}
+
 // Guards against a job that is given up for VMs that were taken down on purpose.
 func TestPlannedRestartsAreNoCrashes(t *testing.T) {
 	h := newHarness(t, 1)
--- a/internal/jobs/job.go
+++ b/internal/jobs/job.go
@@ -172,7 +172,7 @@
 				} else if t.attempt > 0 {
 					r.Tasks = append(r.Tasks, t.record(o.number, s, i))
 				}
-				if t.crashes.OnTrial() && !t.done {
+				if t.crashes != (blame.History{}) && !t.done {
 					r.Crashes = append(r.Crashes, CrashRecord{Occurrence: o.number, Step: s, Index: i, History: t.crashes})
 				}
 			}
@@ -217,7 +217,9 @@
 		id := work.TaskID{Job: r.ID, Occurrence: cr.Occurrence, Step: cr.Step, Index: cr.Index}
 		if t, st := j.findTask(id); t != nil && !t.done {
 			t.crashes = cr.History
-			p.suspects = append(p.suspects, &suspect{id: id, job: j, task: t, step: st, spec: &spec.Steps[cr.Step]})
+			if t.crashes.OnTrial() {
+				p.suspects = append(p.suspects, &suspect{id: id, job: j, task: t, step: st, spec: &spec.Steps[cr.Step]})
+			}
 		}
 	}
 	for i := range r.Tasks {
