soak: tasks that crash their targets

One job in 40 has a task that crashes each target that starts it. Such a job has to end as failed within the recovery limit, with five targets crashed by a task at most; all others have to be completed as before.

--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -49,6 +49,8 @@
 	// configApplyTime is the time after which a configuration is in force, the default of the daemons.
 	configApplyTime = 2 * time.Second
 	execTime        = 100 * time.Millisecond
+	crashingShare   = 40 // one job in so many has a task that crashes each target that starts it
+	maxCrashes      = 5  // of targets by one task
 	jobHost         = "desk.example"
 )
 
@@ -59,7 +61,8 @@
 }{}
 
 // TestSoak injects random faults into a group of daemons. It guards against accepted
-// jobs that are lost, refused jobs that run, jobs that run twice, wrong job states, and routes that are denied.
+// jobs that are lost, refused jobs that run, jobs that run twice, wrong job states, routes that are denied, and tasks that
+// crash target after target.
 func TestSoak(t *testing.T) {
 	for _, k := range knownSeeds {
 		t.Run(fmt.Sprintf("known-%d", k.seed), func(t *testing.T) { runSeed(t, k.seed) })
@@ -233,6 +236,7 @@
 	accepted map[string]bool
 	unknown  map[string]bool // an attempt had neither an acceptance nor a refusal as response
 	refused  map[string]bool // by every attempt
+	crashing map[string]bool // its only task crashes each target that starts it
 }
 
 // runSeed runs the daemons, clients and faults of one seed and checks the outcomes.
@@ -281,7 +285,7 @@
 		}
 	}
 
-	o := &outcomes{accepted: map[string]bool{}, unknown: map[string]bool{}, refused: map[string]bool{}}
+	o := &outcomes{accepted: map[string]bool{}, unknown: map[string]bool{}, refused: map[string]bool{}, crashing: map[string]bool{}}
 	var clients, faults sync.WaitGroup
 	end := time.Now().Add(faultPeriod)
 	for n := range 4 {
@@ -325,6 +329,12 @@
 	for i := 0; time.Now().Before(end); i++ {
 		path := fmt.Sprintf("/%s/%08x%08x", []string{"cut", "sew"}[rng.IntN(2)], n+1, i)
 		body := local.TwoSteps(fmt.Sprint(100+rng.IntN(900)), 300, 3, 2)
+		if rng.IntN(crashingShare) == 0 {
+			body = local.TwoSteps("crashes", 300, 1, 1)
+			o.mu.Lock()
+			o.crashing[path] = true
+			o.mu.Unlock()
+		}
 		for range 6 {
 			status, _ := call(http.MethodPost, daemons[rng.IntN(len(daemons))].clientAddr, path, body)
 			o.record(path, status)
@@ -380,15 +390,19 @@
 	return resp.StatusCode, state.State
 }
 
-// check waits until all accepted jobs are completed, and checks that no refused job has run and what the recorder of the
+// check waits until all accepted jobs are completed, or have failed if they can't be done, and checks that no refused job has run and what the recorder of the
 // targets reports.
 func (o *outcomes) check(t *testing.T, daemons []*daemonProcess, fleet *local.Fleet) {
 	deadline := time.Now().Add(recoveryLimit)
 	unfinished := 0
 	for path := range o.accepted {
+		want := "completed"
+		if o.crashing[path] {
+			want = "failed"
+		}
 		for {
 			status, state := call(http.MethodGet, daemons[0].clientAddr, path, "")
-			if state == "completed" {
+			if state == want {
 				break
 			}
 			if status == http.StatusGone {
@@ -409,6 +423,11 @@
 			t.Errorf("%s was refused by every attempt, but has run", path)
 		}
 	}
+	for task, n := range fleet.Recorder.Crashes() {
+		if n > maxCrashes {
+			t.Errorf("%s crashed %d targets, want at most %d", task, n, maxCrashes)
+		}
+	}
 	for _, v := range fleet.Recorder.Violations() {
 		t.Error(v)
 	}
