agent: only requests that follow a response acknowledge ends

Tasks were started on the new incarnation before the owner knew, and ended. The next request after the failed long poll still carried the number of the last end of the previous incarnation, and so acknowledged three ends that nobody had read; the owner then planned the tasks anew.

Change: a request acknowledges ends only if the previous one was answered; the requests besides the long poll never do.

Evidence: TestAcknowledgmentsFollowResponses failed before ("acknowledges ends up to 57, want 0").

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -162,14 +162,15 @@
 	}
 }
 
-// hold sends one long poll. It extends the lease only if the previous request was answered.
+// hold sends one long poll. It extends the lease and acknowledges ends only if the previous request was answered: otherwise
+// the target may have restarted, and the number of the last end may be that of one that has not been read.
 func (a *Agent) hold(ctx context.Context, answered, busy bool) (ok, nowBusy, pending bool) {
 	call := HoldRequest{Fence: a.Fence}
 	timeout := probeTimeout
 	now := a.Clock.Now()
 	a.mu.Lock()
-	call.Acked = a.acked
 	if answered && a.lease.clockKnown() {
+		call.Acked = a.acked
 		call.Deadline = a.lease.extend(now, a.Lease)
 		a.expiryReported = false
 		call.Wait = idleWait
@@ -259,7 +260,7 @@
 	a.Clock.AfterFunc(d, func() { panics.Catch(a.Logger, "list of a target", a.refresh) })
 }
 
-// refresh requests a run report without extending the lease.
+// refresh requests a run report without extending the lease or acknowledging ends.
 func (a *Agent) refresh() {
 	allowed := a.Handler.Permit()
 	if a.ctx.Err() != nil || !allowed.Valid() {
@@ -269,10 +270,9 @@
 	defer cancel()
 	sent := a.Clock.Now()
 	a.mu.Lock()
-	call := HoldRequest{Fence: a.Fence, Acked: a.acked}
 	incarnation := a.incarnation
 	a.mu.Unlock()
-	response, err := a.Client.Hold(ctx, call)
+	response, err := a.Client.Hold(ctx, HoldRequest{Fence: a.Fence})
 	if err != nil || response.Report.Incarnation != incarnation {
 		return // the long poll handles both cases
 	}
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -172,6 +173,58 @@
 	await(3)
 }
 
+// recordingClient records all requests, and fails the next one if failNext is set.
+type recordingClient struct {
+	silentClient
+	failNext atomic.Bool
+	mu       sync.Mutex
+	requests []HoldRequest
+}
+
+func (c *recordingClient) Hold(_ context.Context, h HoldRequest) (HoldResponse, error) {
+	c.mu.Lock()
+	c.requests = append(c.requests, h)
+	c.mu.Unlock()
+	time.Sleep(5 * time.Millisecond)
+	if c.failNext.Swap(false) {
+		return HoldResponse{}, errors.New("connection reset")
+	}
+	return HoldResponse{Clock: 1, Report: work.RunReport{Target: "t", Incarnation: 1}}, nil
+}
+
+// Guards against ends of a new incarnation that are acknowledged before they were read, by the first request after the
+// target has restarted. Their tasks ran again.
+func TestAcknowledgmentsFollowResponses(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	client := &recordingClient{}
+	a := New(ctx, "t")
+	a.Client, a.Handler, a.Clock, a.Logger, a.Lease = client, &countingHandler{}, clock.System(), hclog.NewNullLogger(), time.Second
+	go a.Run()
+	time.Sleep(50 * time.Millisecond)
+	a.Acknowledge(1, 57)
+	for range 3 {
+		time.Sleep(50 * time.Millisecond)
+		client.failNext.Store(true)
+		a.refresh()
+	}
+	time.Sleep(50 * time.Millisecond)
+	client.mu.Lock()
+	defer client.mu.Unlock()
+	acked := 0
+	for i, r := range client.requests {
+		switch {
+		case r.Wait == 0 && r.Acked != 0:
+			t.Errorf("request %d follows no response, and acknowledges ends up to %d, want 0", i, r.Acked)
+		case r.Acked == 57:
+			acked++
+		}
+	}
+	if acked == 0 {
+		t.Error("no request acknowledges the end 57")
+	}
+}
+
 // blockedClient answers no start until release is closed.
 type blockedClient struct {
 	incarnationClient
