agent: an unanswered start makes a restart of its target known

Cause: after a start without a response the agent requests a run report at once. If that comes from a new incarnation, it was dropped, and the long poll, which had been sent to the ended incarnation and may never be answered, was waited for (up to 2.7 s).

Change: such a report ends the long poll; the next one reads the new incarnation.

Evidence: TestRestartIsKnownByUnansweredStart failed before.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -83,6 +83,7 @@
 	ackChanged     chan struct{} // receives when acked has changed
 	slots          chan struct{} // holds one element for each command in flight
 	ctx            context.Context
+	endHold        context.CancelFunc      // ends the long poll in progress; nil before the first
 	nextRefresh    time.Time               // when the last scheduled refresh runs
 	queuedStarts   map[runKey]*queuedStart // starts that have not been sent yet
 }
@@ -167,6 +168,7 @@
 func (a *Agent) hold(ctx context.Context, answered, busy bool) (ok, nowBusy, pending bool) {
 	call := HoldRequest{Fence: a.Fence}
 	timeout := probeTimeout
+	allowed := a.Handler.Permit()
 	now := a.Clock.Now()
 	a.mu.Lock()
 	if answered && a.lease.clockKnown() {
@@ -179,9 +181,10 @@
 		}
 		timeout = call.Wait + holdMargin
 	}
-	a.mu.Unlock()
-	ctx, cancel := context.WithTimeout(permit.With(ctx, a.Handler.Permit()), timeout)
+	ctx, cancel := context.WithTimeout(permit.With(ctx, allowed), timeout)
 	defer cancel()
+	a.endHold = cancel
+	a.mu.Unlock()
 	response, err := a.Client.Hold(ctx, call)
 	if errors.Is(err, ErrFenced) {
 		a.Handler.Fenced()
@@ -273,13 +276,27 @@
 	incarnation := a.incarnation
 	a.mu.Unlock()
 	response, err := a.Client.Hold(ctx, HoldRequest{Fence: a.Fence})
-	if err != nil || response.Report.Incarnation != incarnation {
-		return // the long poll handles both cases
+	if err != nil {
+		return // the long poll handles it
+	}
+	if response.Report.Incarnation != incarnation {
+		a.repeatHold(incarnation)
+		return
 	}
 	response.Report.RequestedAt = sent
 	a.Handler.RunsReported(response.Report)
 }
 
+// repeatHold ends the long poll that was sent to an incarnation of the target which is known to have ended. It may never be
+// answered, and the next one reads the report of the new incarnation.
+func (a *Agent) repeatHold(ended int64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.incarnation == ended && a.endHold != nil {
+		a.endHold()
+	}
+}
+
 // Send executes a command in the background. A stop cancels a start of the same run that has not been sent yet.
 func (a *Agent) Send(ctx context.Context, cmd jobs.Command) {
 	a.mu.Lock()
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -126,6 +126,63 @@
 	}
 }
 
+// restartingClient restarts at the first start, which it doesn't answer. Long polls of the first incarnation are then never
+// answered.
+type restartingClient struct {
+	silentClient
+	restarted atomic.Bool
+}
+
+func (c *restartingClient) Hold(ctx context.Context, call HoldRequest) (HoldResponse, error) {
+	incarnation := int64(1)
+	if c.restarted.Load() {
+		incarnation = 2
+	} else if call.Wait > 0 {
+		<-ctx.Done()
+		return HoldResponse{}, ctx.Err()
+	}
+	return HoldResponse{Clock: 1, Report: work.RunReport{Target: "t", Incarnation: incarnation}}, nil
+}
+
+func (c *restartingClient) Start(context.Context, StartRequest) (jobs.StartResult, TargetTime) {
+	c.restarted.Store(true)
+	return jobs.StartNoResponse, 0
+}
+
+// reportHandler records the incarnations that have reported.
+type reportHandler struct {
+	countingHandler
+	incarnations chan int64
+}
+
+func (h *reportHandler) RunsReported(r work.RunReport) (int64, bool) {
+	h.incarnations <- r.Incarnation
+	return 0, false
+}
+
+// Guards against a crash that becomes known only when the long poll to the ended incarnation times out.
+func TestRestartIsKnownByUnansweredStart(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	handler := &reportHandler{incarnations: make(chan int64, 1000)}
+	a := New(ctx, "t")
+	a.Client, a.Handler, a.Clock, a.Logger, a.Lease = &restartingClient{}, handler, clock.System(), hclog.NewNullLogger(), time.Second
+	go a.Run()
+	if got := <-handler.incarnations; got != 1 {
+		t.Fatalf("report of incarnation %d, want 1", got)
+	}
+	time.Sleep(50 * time.Millisecond) // a long poll is in progress
+	a.Send(ctx, jobs.StartCommand{Target: "t", Attempt: 1, Incarnation: 1})
+	select {
+	case got := <-handler.incarnations:
+		if got != 2 {
+			t.Errorf("report of incarnation %d, want 2", got)
+		}
+	case <-time.After(probeTimeout):
+		t.Errorf("no report of the new incarnation %v after the start", probeTimeout)
+	}
+}
+
 // incarnationClient reports an incarnation that can change, and records the last acknowledgment that it receives.
 type incarnationClient struct {
 	silentClient
