--- a/internal/shard/targets.go
+++ b/internal/shard/targets.go
@@ -62,10 +62,11 @@
 
 // logRegistration logs a target that is new or whose registration has changed.
 func (s *Shard) logRegistration(p *pool, reg work.Registration) {
-	if h := p.agents[reg.ID]; h != nil && h.registered && h.reg.Draining == reg.Draining && h.reg.Incarnation == reg.Incarnation {
+	if h := p.agents[reg.ID]; h != nil && h.registered && h.reg.Draining == reg.Draining && h.reg.Incarnation == reg.Incarnation && h.reg.Capacity == reg.Capacity {
 		return
 	}
-	s.Logger.Info("target registered", "target", reg.ID, "pool", reg.Pool, "draining", reg.Draining, "born", reg.Incarnation, "address", reg.Addr, "machine", reg.VM)
+	s.Logger.Info("target registered", "target", reg.ID, "pool", reg.Pool, "draining", reg.Draining, "born", reg.Incarnation, "address", reg.Addr, "machine", reg.VM,
+		"cpu", reg.Capacity.CPU, "memory", reg.Capacity.Memory, "gpu", reg.Capacity.GPU)
 }
 
 // ensureAgent starts an agent for a registered target, unless one with its address is running.
