--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -249,8 +249,7 @@
 	return HoldResponse{Clock: 1, Report: work.RunReport{Target: "t", Incarnation: 1}}, nil
 }
 
-// Guards against ends of a new incarnation that are acknowledged before they were read, by the first request after the
-// target has restarted. Their tasks ran again.
+// Guards against tasks that run again because the first request after a restart acknowledged ends that nobody has read.
 func TestAcknowledgmentsFollowResponses(t *testing.T) {
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
--- a/internal/jobd/configuration_test.go
+++ b/internal/jobd/configuration_test.go
@@ -37,8 +37,7 @@
 	return plog.Record{Key: testConfigKey, Value: []byte(version)}
 }
 
-// Guards against "there is no such queue" from a process that hasn't read the configuration for longer than a new one
-// takes to be in force everywhere.
+// Guards against a queue that is denied by a configuration of which the process can know that it is old.
 func TestUnconfirmedConfigurationDeniesNoQueue(t *testing.T) {
 	log := &fakes.Log{}
 	current, outdated := newTestConfiguration(log), newTestConfiguration(log)
@@ -78,8 +77,7 @@
 	}
 }
 
-// Guards against a daemon that keeps an old configuration, and executes requests by it, while the log turns it away and
-// its peers have a newer one.
+// Guards against a process that the log turns away and that keeps its configuration although its peers have a newer one.
 func TestConfigurationIsReadFromPeers(t *testing.T) {
 	refusing := &fakes.Log{BeforeCall: func(string, plog.TopicPartition) (bool, error) { return false, plog.ErrRefused }}
 	newer, older := newTestConfiguration(refusing), newTestConfiguration(refusing)
--- a/internal/jobs/sim_test.go
+++ b/internal/jobs/sim_test.go
@@ -718,8 +718,7 @@
 	runRandomFaults(t, faultOptions{maxLag: 10, listsVMs: true})
 }
 
-// TestRandomFaultsResizedTargets does the same with targets that lose half of their capacity and get it back. It guards against
-// starts that rely on a capacity that the target had when they were planned.
+// TestRandomFaultsResizedTargets does the same with targets that lose half of their capacity and get it back.
 func TestRandomFaultsResizedTargets(t *testing.T) { runRandomFaults(t, faultOptions{resizes: true}) }
 
 // TestRandomFaultsInstantRestarts does the same with targets that may be back before a lagging owner knows of their crash.
--- a/internal/peer/node_test.go
+++ b/internal/peer/node_test.go
@@ -189,8 +189,7 @@
 	}
 }
 
-// Guards against messages that are lost when both sides dial at the same time, and the dialer of the second link finds that
-// it loses to the first one only after the other side has queued messages on it.
+// Guards against the loss of messages on a link that was accepted before the link that wins against it.
 func TestLosingLinkDeliversItsMessages(t *testing.T) {
 	lb, lc := listenLocal(t), listenLocal(t)
 	b, c := startNode(t, "b", lb, nil), startNode(t, "c", lc, nil)
