--- a/internal/jobs/crash.go
+++ b/internal/jobs/crash.go
@@ -41,8 +41,8 @@
 	since time.Time
 }
 
-// survived reports whether the run's target has reported long enough after its start. It reports true for
-// runs of previous owners, since it is not known when they started.
+// survived reports whether the run's target has reported long enough after its start. It reports true for runs of
+// previous owners, since it is not known when they started.
 func (r *run) survived() bool {
 	if r.state == runPlanned {
 		return false
--- a/internal/jobs/run.go
+++ b/internal/jobs/run.go
@@ -168,8 +168,8 @@
 // dropPlanned removes a run whose start command was never sent.
 func (p *Pool) dropPlanned(r *run) { p.detach(r) }
 
-// acceptsPlanned reports whether the target may still be told to start the runs that are planned for it. The writes of their records
-// may have taken seconds, in which it has begun to drain or has lost capacity.
+// acceptsPlanned reports whether the target may still be told to start the runs that are planned for it. The writes of
+// their records may have taken seconds, in which it has begun to drain or has lost capacity.
 func (t *target) acceptsPlanned() bool {
 	return !t.Draining && t.reserved.Fits(t.Capacity)
 }
--- a/internal/peer/dial.go
+++ b/internal/peer/dial.go
@@ -147,7 +147,8 @@
 	}
 }
 
-// startDialed attaches and serves a session that the other side has accepted.
+// startDialed attaches and serves a session that the other side has accepted. A session that loses to another one is
+// served as well, until it has delivered what the other side has sent on it.
 func (n *Node) startDialed(s *session) {
 	reason := n.attach(s)
 	if reason == staleIncarnation {
