agent: a restart that is known between two long polls is not acknowledged

Cause, from its logs: a start without an answer at 56.759 s made a restart of the target known, while the agent waited between two long polls for ends to be stored. No long poll was there to be ended, and the next one, at 57.06 s, acknowledged ends of the new incarnation by the previous one's number.

Change: the agent remembers the incarnation that has ended; the next request acknowledges nothing.

Evidence: TestKnownRestartIsNotAcknowledged failed before ("requests acknowledge [0 57 58], want [0 57 0]").

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -77,6 +77,7 @@
 	mu             sync.Mutex
 	lease          lease
 	incarnation    int64         // of the target, from its last run report; 0 before the first
+	ended          int64         // incarnation that is known to have ended, although no report of a later one has been handled
 	expiryReported bool          // LeaseExpired was called, and no lease was given since
 	lagging        bool          // the last failed request exceeded its timeout by more than maxLag, so it says nothing about the target
 	acked          int64         // the target may forget the ends of runs up to this number
@@ -171,7 +172,7 @@
 	allowed := a.Handler.Permit()
 	now := a.Clock.Now()
 	a.mu.Lock()
-	if answered && a.lease.clockKnown() {
+	if answered && a.lease.clockKnown() && a.incarnation != a.ended {
 		call.Acked = a.acked
 		call.Deadline = a.lease.extend(now, a.Lease)
 		a.expiryReported = false
@@ -288,11 +289,12 @@
 }
 
 // repeatHold ends the long poll that was sent to an incarnation of the target which is known to have ended. It may never be
-// answered, and the next one reads the report of the new incarnation.
+// answered, and the next one, which acknowledges nothing, reads the report of the new incarnation.
 func (a *Agent) repeatHold(ended int64) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.incarnation == ended && a.endHold != nil {
+		a.ended = ended
 		a.endHold()
 	}
 }
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -281,6 +281,26 @@
 	}
 }
 
+// Guards against an acknowledgment that is sent to a new incarnation, although its restart is known, between two long polls.
+func TestKnownRestartIsNotAcknowledged(t *testing.T) {
+	client := &recordingClient{}
+	a := New(t.Context(), "t")
+	a.Client, a.Handler, a.Clock, a.Logger, a.Lease = client, &countingHandler{}, clock.System(), hclog.NewNullLogger(), time.Second
+	a.hold(t.Context(), false, true)
+	a.Acknowledge(1, 57)
+	a.hold(t.Context(), true, true)
+	a.repeatHold(1)
+	a.Acknowledge(1, 58)
+	a.hold(t.Context(), true, true)
+	var got []int64
+	for _, r := range client.requests {
+		got = append(got, r.Acked)
+	}
+	if want := []int64{0, 57, 0}; !slices.Equal(got, want) {
+		t.Errorf("requests acknowledge %v, want %v", got, want)
+	}
+}
+
 // blockedClient answers no start until release is closed.
 type blockedClient struct {
 	incarnationClient
