--- a/internal/jobs/crash_test.go
+++ b/internal/jobs/crash_test.go
@@ -144,6 +144,10 @@
 		start := h.startWithoutResponse()
 		h.crash(start.Target)
 	}
+	h.pool.Plan(h.now)
+	if records, _ := h.beginWrite(); records != 1 {
+		t.Fatalf("%d records, want 1", records)
+	}
 	next := h.takeOver(2)
 	got := next.pool.jobs[deadly].occurrences[0].steps[0].tasks[0].crashes
 	if want := h.pool.jobs[deadly].occurrences[0].steps[0].tasks[0].crashes; got != want {
@@ -175,20 +179,12 @@
 	}
 }
 
-// takeOver returns the harness of the next owner, which knows the jobs from their records.
+// takeOver returns the harness of the next owner, which knows the jobs from the records that have been written.
 func (h *harness) takeOver(targets int) *harness {
 	h.t.Helper()
-	for _, j := range h.pool.jobs {
-		h.pool.markDirty(j)
-	}
-	records, _ := h.pool.BeginWrite()
 	next := newHarness(h.t, 0)
-	next.now, next.crashes, next.pool.Fence = h.now, h.crashes, h.pool.Fence+1
-	for _, r := range records {
-		encoded, err := r.Encode()
-		if err != nil {
-			h.t.Fatal(err)
-		}
+	next.now, next.crashes, next.store, next.pool.Fence = h.now, h.crashes, h.store, h.pool.Fence+1
+	for _, encoded := range h.store {
 		restored, err := DecodeRecord(encoded)
 		if err != nil {
 			h.t.Fatal(err)
--- a/internal/jobs/pool_test.go
+++ b/internal/jobs/pool_test.go
@@ -16,13 +16,14 @@
 	lastSeq map[work.TargetID]int64
 	runs    map[work.TargetID][]work.RunStatus
 	crashes map[work.TargetID]int64
+	store   map[work.JobID][]byte // the newest record of each job
 }
 
 var testQueue = work.Queue{ID: "q", Pool: "pool", MaxAttempts: 2, SlackFactor: 1.6, Objective: 600 * time.Millisecond}
 
 func newHarness(t *testing.T, targets int) *harness {
 	t.Helper()
-	h := &harness{t: t, pool: NewPool("pool"), now: time.Unix(1_700_000_000, 0), lastSeq: map[work.TargetID]int64{}, crashes: map[work.TargetID]int64{}, runs: map[work.TargetID][]work.RunStatus{}}
+	h := &harness{t: t, pool: NewPool("pool"), now: time.Unix(1_700_000_000, 0), lastSeq: map[work.TargetID]int64{}, crashes: map[work.TargetID]int64{}, runs: map[work.TargetID][]work.RunStatus{}, store: map[work.JobID][]byte{}}
 	h.pool.Fence = 1
 	h.pool.Bounds = Bounds{StopTimeout: 400 * time.Millisecond, RemoteCost: 1, Retention: time.Minute, InheritedLease: 9 * time.Second, MaxLease: 5 * time.Second}
 	h.pool.SetQueues([]work.Queue{testQueue})
@@ -66,10 +67,24 @@
 	}
 }
 
+// beginWrite stores the records that have changed, and returns how many these are and the number of the write.
+func (h *harness) beginWrite() (int, WriteSeq) {
+	h.t.Helper()
+	records, write := h.pool.BeginWrite()
+	for _, r := range records {
+		encoded, err := r.Encode()
+		if err != nil {
+			h.t.Fatal(err)
+		}
+		h.store[r.ID] = encoded
+	}
+	return len(records), write
+}
+
 // planAndCarryOut plans, makes all changes durable and carries out the commands.
 func (h *harness) planAndCarryOut() (started []StartCommand) {
 	h.pool.Plan(h.now)
-	if records, write := h.pool.BeginWrite(); len(records) > 0 {
+	if records, write := h.beginWrite(); records > 0 {
 		h.pool.MarkDurable(h.now, write)
 	}
 	for _, cmd := range h.pool.TakeCommands() {
@@ -108,7 +123,7 @@
 // startUnheard sends a start command that gets no response.
 func (h *harness) startUnheard() StartCommand {
 	h.pool.Plan(h.now)
-	_, write := h.pool.BeginWrite()
+	_, write := h.beginWrite()
 	h.pool.MarkDurable(h.now, write)
 	start := h.pool.TakeCommands()[0].(StartCommand)
 	h.pool.HandleStartResult(h.now, start.Target, start.Task, start.Attempt, StartNoResponse)
