--- a/internal/jobs/crash.go
+++ b/internal/jobs/crash.go
@@ -66,7 +66,7 @@
 	}
 	for _, r := range t.runList() {
 		// A service task is not blamed: it may have run for days.
-		if r.inherited && r.task != nil && !r.spec.Service && r.incarnation != 0 && r.incarnation < incarnation {
+		if r.inherited && r.task != nil && !r.spec.Service && r.precedes(incarnation) {
 			p.blame(now, r, blame.Crash{Inherited: true}, len(runs))
 		}
 	}
@@ -78,7 +78,7 @@
 func (t *target) crashSuspects(incarnation int64) []*run {
 	var all, late []*run
 	for _, r := range t.orderedRuns {
-		if r.task == nil || r.state == runPlanned || r.incarnation == 0 || r.incarnation >= incarnation || r.survived() {
+		if r.task == nil || r.state == runPlanned || !r.precedes(incarnation) || r.survived() {
 			continue
 		}
 		if t.trial != nil && t.trial.task == r.task {
--- a/internal/jobs/tick.go
+++ b/internal/jobs/tick.go
@@ -121,7 +121,7 @@
 	}
 	p.handleCrash(now, t, incarnation)
 	for _, r := range t.runList() {
-		if r.incarnation != 0 && r.incarnation < incarnation {
+		if r.precedes(incarnation) {
 			p.markLost(now, r, "the VM has restarted or is down")
 		}
 	}
