--- a/internal/jobs/run.go
+++ b/internal/jobs/run.go
@@ -102,7 +102,9 @@
 )
 
 // precedes reports whether the run was planned for an incarnation of its target before the given one.
-func (r *run) precedes(incarnation int64) bool { return r.incarnation != 0 && r.incarnation < incarnation }
+func (r *run) precedes(incarnation int64) bool {
+	return r.incarnation != 0 && r.incarnation < incarnation
+}
 
 // attach assigns a run to a target and reserves its resources there.
 func (p *Pool) attach(r *run, t *target) {
