--- a/internal/fakes/log.go
+++ b/internal/fakes/log.go
@@ -20,6 +20,8 @@
 	BeforeCall func(call string, to plog.TopicPartition) (apply bool, err error)
 	// Partitions is the number of partitions of each topic; 0 means 1.
 	Partitions int
+	// PageRecords and PageBytes limit a page of the newest records; 0 means 50 records and no limit on their size.
+	PageRecords, PageBytes int
 
 	mu         sync.Mutex
 	partitions map[plog.TopicPartition]*fakePartition
@@ -113,16 +115,18 @@
 	if apply, err := l.runHook("newest", from); !apply || err != nil {
 		return plog.Page{}, err
 	}
-	const pageSize = 50
+	const defaultPageRecords = 50
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	p := l.partition(from)
 	page := plog.Page{End: ident.Offset(len(p.records))}
+	size := 0
 	for _, key := range slices.Sorted(maps.Keys(p.newest)) {
 		if key <= after {
 			continue
 		}
-		if len(page.Records) == pageSize {
+		size += len(key) + len(p.newest[key])
+		if n := len(page.Records); n == cmp.Or(l.PageRecords, defaultPageRecords) || n > 0 && l.PageBytes > 0 && size > l.PageBytes {
 			page.More = true
 			break
 		}
--- a/internal/jobd/daemon.go
+++ b/internal/jobd/daemon.go
@@ -1,6 +1,7 @@
 package jobd
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -192,7 +193,7 @@
 		TTL: max(membershipTTL, s.Log.MinTTL.Duration), StartOwner: d.startOwner, Standby: func() bool { return d.standby.On() }, AfterLeave: func() { d.notifyPeers(d.ctx) }, Clock: d.Clock, Logger: d.Logger,
 	}
 	d.member.Init()
-	d.service = &Service{Partitions: s.Log.Partitions, PeerAddress: s.PeerAddress, Zone: s.Zone, Member: d.member, Owners: d.owners, PeerClient: peerClient, Clock: d.Clock, Logger: d.Logger}
+	d.service = &Service{Partitions: s.Log.Partitions, MaxRecord: cmp.Or(s.Log.MaxRecord, defaultMaxRecord), PeerAddress: s.PeerAddress, Zone: s.Zone, Member: d.member, Owners: d.owners, PeerClient: peerClient, Clock: d.Clock, Logger: d.Logger}
 	d.service.Config = &configuration{
 		Platform: p, ApplyWithin: s.Bounds.configApply(), SetWave: d.service.setWave, SomePeers: d.owners.SomePeers, PeerClient: peerClient,
 		Clock: d.Clock, Logger: d.Logger,
--- a/internal/jobd/service.go
+++ b/internal/jobd/service.go
@@ -53,8 +53,9 @@
 
 // Service carries out clients' requests, in this daemon if it owns the pool's partition and otherwise in the owner.
 type Service struct {
-	Partitions  int    // of the jobs topic
-	PeerAddress string // of this daemon
+	Partitions  int         // of the jobs topic
+	MaxRecord   ident.Bytes // limit of the log on the size of a record
+	PeerAddress string      // of this daemon
 	Zone        ident.ZoneID
 	Member      *group.Member
 	Owners      *ownerTable
@@ -93,6 +94,7 @@
 	outcomeNoSuchJob outcome = "unknown"
 	outcomeRefused   outcome = "refused"
 	outcomeNotRun    outcome = "not_run"
+	outcomeInvalid   outcome = "invalid" // the job can't be stored
 	outcomeNotOwner  outcome = "not_owner"
 	outcomeUncertain outcome = "unsure" // the request may have been carried out
 )
@@ -170,6 +172,8 @@
 		r.Outcome = outcomeNoSuchJob
 	case errors.As(err, &refused):
 		r.Outcome, r.RetryAfter = outcomeRefused, refused.RetryAfter
+	case errors.Is(err, shard.ErrInvalid):
+		r.Outcome = outcomeInvalid
 	case errors.Is(err, shard.ErrNotStored):
 		r.Outcome, r.RetryAfter = outcomeNotRun, admit.RetryAfterOutage(s.pingReply().SinceLogResponse)
 	case errors.Is(err, shard.ErrNotOwner):
@@ -308,19 +312,25 @@
 	return 0
 }
 
-// Submit submits a job. The error is nil if the job is stored, a [*shard.RefusedError] or a [*NotRunError] if it is not
-// and never will be, and [ErrUnknownOutcome] if it may be stored.
+// Submit submits a job. The error is nil if the job is stored, a [*work.SpecError] if it can't be stored, a
+// [*shard.RefusedError] or a [*NotRunError] if it is not stored and never will be, and [ErrUnknownOutcome] if it may be stored.
 func (s *Service) Submit(ctx context.Context, host, path string, id work.JobID, spec *work.Spec) error {
 	q, _, err := s.findQueue(host, path)
 	if err != nil {
 		return err
 	}
+	if err := jobs.CheckStorable(id, q, spec, s.MaxRecord); err != nil {
+		s.Logger.Info("submit", "job", id, "queue", q.ID, "pool", q.Pool, "outcome", outcomeInvalid, "error", err)
+		return err
+	}
 	r, uncertain := s.callOwner(ctx, methodSubmit, request{Job: id, Queue: q, Spec: spec})
 	err = nil
 	switch {
 	case r.Outcome == outcomeOK:
 	case uncertain: // an earlier attempt may still be stored
 		err = ErrUnknownOutcome
+	case r.Outcome == outcomeInvalid:
+		err = &work.SpecError{Reason: shard.ErrInvalid.Error()}
 	case r.Outcome == outcomeRefused:
 		err = &shard.RefusedError{RetryAfter: r.RetryAfter}
 	default:
--- a/internal/jobd/settings.go
+++ b/internal/jobd/settings.go
@@ -5,6 +5,8 @@
 	"errors"
 	"fmt"
 	"net"
+	"os"
+	"strconv"
 	"time"
 
 	"github.com/toucanhatch/toucanhatch/internal/config"
@@ -37,9 +39,11 @@
 
 // LogSettings describe the platform's log.
 type LogSettings struct {
-	Address    string          `toml:"address"` // IP:port
-	Partitions int             `toml:"parts"`   // partitions of a topic
-	MinTTL     config.Duration `toml:"min_ttl"` // shortest ttl of a group member
+	Address    string          `toml:"address"`    // IP:port
+	Partitions int             `toml:"parts"`      // partitions of a topic
+	MinTTL     config.Duration `toml:"min_ttl"`    // shortest ttl of a group member
+	MaxRecord  ident.Bytes     `toml:"max_record"` // limit on the size of a record
+	MaxAppend  ident.Bytes     `toml:"max_append"` // limit on the size of an append
 }
 
 // BoundSettings are limits and costs that the platform sets.
@@ -56,12 +60,22 @@
 // SettingsEnv is the environment variable with the path of the settings file.
 const SettingsEnv = "TOUCANHATCH_SETTINGS"
 
+// The environment variables that replace settings of the log, in bytes.
+const (
+	MaxRecordEnv = "TOUCANHATCH_MAX_RECORD"
+	MaxAppendEnv = "TOUCANHATCH_MAX_APPEND"
+)
+
 const (
 	defaultStopGrace  = 6 * time.Second
 	defaultRetention  = 2 * time.Minute
 	defaultPartitions = 12
+	defaultMaxRecord  = 256 << 10 // bytes
+	defaultMaxAppend  = 2 << 20   // bytes
 	defaultApplyTime  = 2 * time.Second
 	controlModeInvoke = "invoke"
+	// maxFraming is by how much a record in an append may exceed the size by which records are limited, in bytes.
+	maxFraming = 16
 )
 
 // LoadSettings reads and validates a settings file; the error lists everything that is invalid.
@@ -69,17 +83,31 @@
 	s := &Settings{
 		LogLevel: "info", ControlMode: controlModeInvoke, StopGrace: config.Duration{Duration: defaultStopGrace},
 		Bounds: BoundSettings{Retention: config.Duration{Duration: defaultRetention}, RemoteCost: 1},
-		Log:    LogSettings{Partitions: defaultPartitions},
+		Log:    LogSettings{Partitions: defaultPartitions, MaxRecord: defaultMaxRecord, MaxAppend: defaultMaxAppend},
 	}
 	if err := config.DecodeFile(path, s); err != nil {
 		return nil, err
 	}
-	if err := s.validate(); err != nil {
+	if err := errors.Join(readBytesEnv(MaxRecordEnv, &s.Log.MaxRecord), readBytesEnv(MaxAppendEnv, &s.Log.MaxAppend), s.validate()); err != nil {
 		return nil, fmt.Errorf("settings %s: %w", path, err)
 	}
 	return s, nil
 }
 
+// readBytesEnv sets a number of bytes from an environment variable that is set and not empty.
+func readBytesEnv(name string, to *ident.Bytes) error {
+	text := os.Getenv(name)
+	if text == "" {
+		return nil
+	}
+	n, err := strconv.ParseInt(text, 10, 64)
+	if err != nil {
+		return fmt.Errorf("%s = %q is not a number of bytes", name, text)
+	}
+	*to = ident.Bytes(n)
+	return nil
+}
+
 func (s *Settings) validate() error {
 	var errs []error
 	addError := func(format string, args ...any) { errs = append(errs, fmt.Errorf(format, args...)) }
@@ -111,6 +139,12 @@
 	if s.Log.Partitions < 1 {
 		addError("log.parts = %d is not positive", s.Log.Partitions)
 	}
+	if s.Log.MaxRecord < jobs.MinRecord {
+		addError("log.max_record = %d is less than %d, with which not every job could be stored", s.Log.MaxRecord, jobs.MinRecord)
+	}
+	if s.Log.MaxAppend < s.Log.MaxRecord+maxFraming {
+		addError("log.max_append = %d is not more than log.max_record = %d by %d or more", s.Log.MaxAppend, s.Log.MaxRecord, maxFraming)
+	}
 	if s.CPUShare < 0 || s.Cores < 0 {
 		addError("cpu_share = %v, cores = %v: neither may be negative", s.CPUShare, s.Cores)
 	}
--- a/internal/jobd/settings_test.go
+++ b/internal/jobd/settings_test.go
@@ -24,6 +24,23 @@
 	return LoadSettings(path)
 }
 
+// Guards against limits of the log that the deployment states and the daemon doesn't use.
+func TestLimitsFromEnvironment(t *testing.T) {
+	t.Setenv(MaxRecordEnv, "200000")
+	t.Setenv(MaxAppendEnv, "300000")
+	s, err := loadText(t, validSettings)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if s.Log.MaxRecord != 200_000 || s.Log.MaxAppend != 300_000 {
+		t.Errorf("limits %d and %d, want 200000 and 300000", s.Log.MaxRecord, s.Log.MaxAppend)
+	}
+	t.Setenv(MaxRecordEnv, "many")
+	if _, err := loadText(t, validSettings); err == nil || !strings.Contains(err.Error(), MaxRecordEnv) {
+		t.Errorf("error %v, want one that names %s", err, MaxRecordEnv)
+	}
+}
+
 // Guards against errors about settings that don't name the invalid key or line.
 func TestInvalidSettings(t *testing.T) {
 	if _, err := loadText(t, validSettings); err != nil {
@@ -35,6 +52,8 @@
 		{"address", strings.Replace(validSettings, "127.0.0.1:4", "here", 1), "log.address"},
 		{"control mode", "control_mode = \"heartbeat\"\n" + validSettings, "control_mode"},
 		{"log level", "log_level = \"loud\"\n" + validSettings, "log_level"},
+		{"small records", validSettings + "max_record = 65536\n", "log.max_record"},
+		{"appends smaller than records", validSettings + "max_append = 262144\n", "log.max_append"},
 		{"missing entry", strings.Replace(validSettings, `entry = "e"`, "", 1), "entry is missing"},
 	} {
 		if _, err := loadText(t, test.text); err == nil || !strings.Contains(err.Error(), test.want) {
--- a/internal/jobs/bench_test.go
+++ b/internal/jobs/bench_test.go
@@ -48,8 +48,8 @@
 // BenchmarkTakeover measures the time to decode and restore one job's record, and the memory that the job occupies.
 func BenchmarkTakeover(b *testing.B) {
 	p, now := newLoadedPool(b, 80, 100)
-	records, _ := p.BeginWrite()
-	data, err := records[0].Encode()
+	changes, _ := p.BeginWrite()
+	data, err := changes[0].Record.Encode()
 	if err != nil {
 		b.Fatal(err)
 	}
--- a/internal/jobs/crash.go
+++ b/internal/jobs/crash.go
@@ -103,7 +103,7 @@
 	if h.OnTrial() && !wasOnTrial {
 		p.suspects = append(p.suspects, &suspect{id: r.key.task, job: r.job, task: r.task, step: r.step, spec: r.spec})
 	}
-	p.markDirty(r.job)
+	p.markTaskDirty(r.job, r.key.task)
 	p.emit(Event{
 		Kind: EventCrash, Job: r.job.id, Task: r.key.task, Attempt: r.key.attempt, Target: r.target.ID,
 		Detail: fmt.Sprintf("one of %d tasks; start confirmed: %v; crashes under it %d, without another cause %d, of these with confirmed starts %d, around takeovers %d", of, crash.Confirmed, h.Crashes, h.Sole, h.Confirmed, h.Inherited),
--- a/internal/jobs/crash_test.go
+++ b/internal/jobs/crash_test.go
@@ -184,12 +184,8 @@
 	h.t.Helper()
 	next := newHarness(h.t, 0)
 	next.now, next.crashes, next.store, next.pool.Fence = h.now, h.crashes, h.store, h.pool.Fence+1
-	for _, encoded := range h.store {
-		restored, err := DecodeRecord(encoded)
-		if err != nil {
-			h.t.Fatal(err)
-		}
-		next.pool.Restore(next.now, restored)
+	if err := restoreAll(next.pool, next.now, h.store); err != nil {
+		h.t.Fatal(err)
 	}
 	for i := range targets {
 		next.register(work.TargetID(fmt.Sprintf("t%d", i)))
--- a/internal/jobs/end.go
+++ b/internal/jobs/end.go
@@ -35,7 +35,7 @@
 	if r != nil {
 		p.detach(r)
 	}
-	if end.Checkpoint != "" && !tk.done {
+	if !tk.done && p.acceptsCheckpoint(t, end.Task, end.Attempt, end.Checkpoint) {
 		tk.checkpoint = end.Checkpoint
 	}
 	if end.Kind == work.EndFailed {
@@ -68,7 +68,6 @@
 			complete = p.completeTask(now, j, &st.tasks[i], id) || complete
 		}
 	}
-	p.markDirty(j)
 	p.replan = true
 	if complete {
 		p.finish(now, j)
@@ -84,6 +83,7 @@
 func (p *Pool) completeTask(now time.Time, j *job, tk *task, id work.TaskID) bool {
 	other := tk.run
 	complete := j.markDone(id)
+	p.markTaskDirty(j, id)
 	if other != nil && !j.spec.Steps[id.Step].Gang {
 		p.stop(now, other, "the task is done")
 	}
@@ -99,7 +99,7 @@
 	tk.failures++
 	tk.avoidTarget = t.ID
 	tk.notBefore = now.Add(failureBackoff)
-	p.markDirty(j)
+	p.markTaskDirty(j, end.Task)
 	t.health.TaskFailed(now)
 	spec := &j.spec.Steps[end.Task.Step]
 	if spec.Service {
--- a/internal/jobs/event.go
+++ b/internal/jobs/event.go
@@ -11,20 +11,21 @@
 
 // The decisions that the pool reports.
 const (
-	EventAccepted        EventKind = "accepted"
-	EventRefused         EventKind = "refused"
-	EventWithdrawn       EventKind = "withdrawn"
-	EventCanceled        EventKind = "canceled"
-	EventCompleted       EventKind = "completed"
-	EventFailed          EventKind = "failed"
-	EventPlanned         EventKind = "planned"
-	EventAdopted         EventKind = "adopted"
-	EventEnded           EventKind = "ended"
-	EventStopping        EventKind = "stopping"
-	EventRejected        EventKind = "rejected" // a target rejected a start command
-	EventStartUnanswered EventKind = "unsure"   // a start command got no response
-	EventSuspect         EventKind = "suspect"  // a run makes too little progress and is stopped
-	EventCrash           EventKind = "crash"    // a target has crashed shortly after it had started a task
+	EventAccepted          EventKind = "accepted"
+	EventRefused           EventKind = "refused"
+	EventWithdrawn         EventKind = "withdrawn"
+	EventCanceled          EventKind = "canceled"
+	EventCompleted         EventKind = "completed"
+	EventFailed            EventKind = "failed"
+	EventPlanned           EventKind = "planned"
+	EventAdopted           EventKind = "adopted"
+	EventEnded             EventKind = "ended"
+	EventStopping          EventKind = "stopping"
+	EventRejected          EventKind = "rejected"           // a target rejected a start command
+	EventStartUnanswered   EventKind = "unsure"             // a start command got no response
+	EventSuspect           EventKind = "suspect"            // a run makes too little progress and is stopped
+	EventCheckpointIgnored EventKind = "checkpoint_ignored" // a checkpoint is too long to be stored
+	EventCrash             EventKind = "crash"              // a target has crashed shortly after it had started a task
 )
 
 // Event is one decision, with the facts that it is based on.
--- a/internal/jobs/expire_test.go
+++ b/internal/jobs/expire_test.go
@@ -26,7 +26,7 @@
 	if len(records) != 1 {
 		t.Fatalf("%d records of the completed job, want 1", len(records))
 	}
-	j := h.pool.jobs[records[0].ID]
+	j := h.pool.jobs[records[0].Job]
 	h.now = h.now.Add(maxCommandDelay + time.Second)
 	h.pool.Expire(h.now)
 	if j.stripped {
--- a/internal/jobs/job.go
+++ b/internal/jobs/job.go
@@ -1,6 +1,7 @@
 package jobs
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/toucanhatch/toucanhatch/internal/blame"
@@ -19,6 +20,9 @@
 	finishedAt      time.Time // wall clock; zero while the job is active
 	occurrences     []*occurrence
 	occurrencesLeft int           // occurrences that are not done
+	recordChanged   bool          // the next write stores its record
+	segments        *segmentation // nil if its record holds the state of its tasks
+	withoutTasks    bool          // its record is stored without the state of its tasks, which the log has rejected
 	firstWrite      WriteSeq      // the write that first stores the job
 	lastWrite       WriteSeq      // the write that stores its last change
 	started         bool          // a run of one of its tasks was confirmed or reported, or is in the record of a previous owner
@@ -64,8 +68,8 @@
 	avoidTarget work.TargetID // target on which the last run failed or made too little progress
 }
 
-func newJob(id work.JobID, queue work.QueueID, spec *work.Spec, submitted time.Time) *job {
-	j := &job{id: id, queue: queue, spec: spec, submitted: submitted, occurrencesLeft: spec.Occurrences()}
+func newJob(id work.JobID, queue work.QueueID, spec *work.Spec, submitted time.Time, segmentTasks int) *job {
+	j := &job{id: id, queue: queue, spec: spec, submitted: submitted, occurrencesLeft: spec.Occurrences(), segments: newSegmentation(spec, segmentTasks)}
 	j.longestChain = longestChain(spec, nil)
 	j.cpuTime = totalCPUTime(spec)
 	return j
@@ -100,6 +104,13 @@
 	return created
 }
 
+// createOccurrences creates occurrences until there are n.
+func (j *job) createOccurrences(n int) {
+	for len(j.occurrences) < n {
+		j.occurrences = append(j.occurrences, newOccurrence(len(j.occurrences), j.spec))
+	}
+}
+
 func newOccurrence(n int, spec *work.Spec) *occurrence {
 	o := &occurrence{number: n, steps: make([]stepState, len(spec.Steps)), stepsLeft: len(spec.Steps)}
 	for i := range spec.Steps {
@@ -155,12 +166,31 @@
 	return j.occurrencesLeft == 0
 }
 
+// takeChange returns the records that have changed since the last call.
+func (j *job) takeChange(pool ident.PoolID, queue work.Queue) Change {
+	c := Change{Job: j.id}
+	if j.recordChanged {
+		c.Record = j.record(pool, queue)
+		j.recordChanged = false
+	}
+	if j.segments != nil && !j.withoutTasks {
+		c.Segments = j.segments.takeChanged(j)
+	}
+	return c
+}
+
 // record returns the record of the job.
 func (j *job) record(pool ident.PoolID, queue work.Queue) *Record {
 	r := &Record{
 		ID: j.id, Queue: queue, Pool: pool, Spec: *j.spec, Accepted: j.submitted,
 		Canceled: j.canceled, Failed: j.failed, Finished: j.finishedAt,
 	}
+	if j.segments != nil {
+		r.SegmentTasks, r.Occurrences = j.segments.size, len(j.occurrences)
+	}
+	if j.segments != nil || j.withoutTasks {
+		return r
+	}
 	for _, o := range j.occurrences {
 		for s := range o.steps {
 			st := &o.steps[s]
@@ -193,63 +223,112 @@
 	return tr
 }
 
-// restoreJob builds a job from its record. A task that may be running gets a
-// run in state runUnconfirmed, until its target reports its runs or the lease
-// has expired.
-func restoreJob(p *Pool, now time.Time, r *Record) *job {
-	spec := r.Spec
-	j := newJob(r.ID, r.Queue.ID, &spec, r.Accepted)
-	j.canceled, j.failed, j.finishedAt = r.Canceled, r.Failed, r.Finished
-	steps := len(spec.Steps)
-	for i := range min(len(r.Done), steps*spec.Occurrences()) {
-		if i%steps == 0 {
-			j.occurrences = append(j.occurrences, newOccurrence(i/steps, &spec))
-		}
-		for t := range spec.Steps[i%steps].Count {
+// restoreDone marks the tasks as done that are so in the job's records.
+func (j *job) restoreDone(r *Record, segments []*SegmentRecord) {
+	steps := len(j.spec.Steps)
+	for i := range min(len(r.Done), steps*j.spec.Occurrences()) {
+		j.createOccurrences(i/steps + 1)
+		for t := range j.spec.Steps[i%steps].Count {
 			if t/8 < len(r.Done[i]) && r.Done[i][t/8]&(1<<(t%8)) != 0 {
 				j.started = true
 				j.markDone(work.TaskID{Job: r.ID, Occurrence: i / steps, Step: i % steps, Index: t})
 			}
 		}
 	}
-	for i := range r.Crashes {
-		cr := &r.Crashes[i]
-		id := work.TaskID{Job: r.ID, Occurrence: cr.Occurrence, Step: cr.Step, Index: cr.Index}
-		if t, st := j.findTask(id); t != nil && !t.done {
-			t.crashes = cr.History
-			if t.crashes.OnTrial() {
-				p.suspects = append(p.suspects, &suspect{id: id, job: j, task: t, step: st, spec: &spec.Steps[cr.Step]})
+	if j.segments == nil || r.SegmentTasks == 0 {
+		return
+	}
+	j.createOccurrences(min(r.Occurrences, j.spec.Occurrences()))
+	j.segments.restore(j, segments)
+	j.completeGangs()
+}
+
+// completeGangs marks all members of a gang as done if one is: the segments of a gang may have been stored in part, and its
+// members end together.
+func (j *job) completeGangs() {
+	for _, o := range j.occurrences {
+		for s := range o.steps {
+			st := &o.steps[s]
+			if !j.spec.Steps[s].Gang || st.tasksLeft == 0 || st.tasksLeft == len(st.tasks) {
+				continue
+			}
+			for i := range st.tasks {
+				j.markDone(work.TaskID{Job: j.id, Occurrence: o.number, Step: s, Index: i})
 			}
 		}
 	}
-	for i := range r.Tasks {
-		tr := &r.Tasks[i]
-		id := work.TaskID{Job: r.ID, Occurrence: tr.Occurrence, Step: tr.Step, Index: tr.Index}
-		t, st := j.findTask(id)
-		if t == nil || t.done {
-			continue
-		}
-		j.started = true
-		t.attempt, t.failures, t.lastFailed, t.checkpoint = tr.Attempt, tr.Failures, tr.LastFailed, tr.Checkpoint
-		if spec.Steps[tr.Step].Gang {
-			st.failures = max(st.failures, tr.Failures)
-		}
-		if tr.Target == "" {
-			continue
-		}
-		run := &run{key: runKey{id, tr.Attempt}, job: j, task: t, step: st, spec: &spec.Steps[tr.Step], incarnation: tr.Incarnation, state: runUnconfirmed, inherited: true, pace: 100, checkpoint: tr.Checkpoint}
-		run.vm, run.leaseExpiresBy = tr.VM, tr.LeaseExpiresBy
-		p.attach(run, p.ensureTarget(tr.Target))
-		if run.leaseExpiresBy.IsZero() {
-			run.leaseExpiresBy = p.wallTime(now).Add(p.Bounds.InheritedLease)
-			p.markDirty(j)
-		}
-		if run.target.VM == "" {
-			run.target.VM = tr.VM
-		}
-		if j.finished() {
-			p.stop(now, run, "the job has finished")
-		}
+}
+
+// restoreJob builds a job from its records. A task that may be running gets a
+// run in state runUnconfirmed, until its target reports its runs or the lease
+// has expired.
+func restoreJob(p *Pool, now time.Time, r *Record, segments []*SegmentRecord) *job {
+	spec := r.Spec
+	j := newJob(r.ID, r.Queue.ID, &spec, r.Accepted, cmp.Or(r.SegmentTasks, p.segmentTasks))
+	j.canceled, j.failed, j.finishedAt = r.Canceled, r.Failed, r.Finished
+	j.restoreDone(r, segments)
+	if j.segments != nil && r.SegmentTasks == 0 { // stored before jobs had segments
+		j.segments.markAllChanged(len(j.occurrences))
+		p.markDirty(j)
+	}
+	switch {
+	case !r.Finished.IsZero() && !r.Canceled && !r.Failed:
+		j.occurrencesLeft = 0 // of a completed job, the segments may have been stored in part
+	case j.finished() && j.finishedAt.IsZero(): // the segments were stored, but not the record that says so
+		j.finishedAt = p.wallTime(now)
+		p.markDirty(j)
+	}
+	tasks, crashes := r.Tasks, r.Crashes
+	for _, s := range segments {
+		tasks, crashes = append(tasks, s.Tasks...), append(crashes, s.Crashes...)
+	}
+	for i := range crashes {
+		p.restoreCrashes(j, &crashes[i])
+	}
+	for i := range tasks {
+		p.restoreTask(now, j, &tasks[i])
 	}
 	return j
 }
+
+func (p *Pool) restoreCrashes(j *job, r *CrashRecord) {
+	id := work.TaskID{Job: j.id, Occurrence: r.Occurrence, Step: r.Step, Index: r.Index}
+	t, st := j.findTask(id)
+	if t == nil || t.done {
+		return
+	}
+	t.crashes = r.History
+	if t.crashes.OnTrial() {
+		p.suspects = append(p.suspects, &suspect{id: id, job: j, task: t, step: st, spec: &j.spec.Steps[r.Step]})
+	}
+}
+
+func (p *Pool) restoreTask(now time.Time, j *job, r *TaskRecord) {
+	id := work.TaskID{Job: j.id, Occurrence: r.Occurrence, Step: r.Step, Index: r.Index}
+	t, st := j.findTask(id)
+	if t == nil || t.done {
+		return
+	}
+	spec := &j.spec.Steps[r.Step]
+	j.started = true
+	t.attempt, t.failures, t.lastFailed, t.checkpoint = r.Attempt, r.Failures, r.LastFailed, r.Checkpoint
+	if spec.Gang {
+		st.failures = max(st.failures, r.Failures)
+	}
+	if r.Target == "" {
+		return
+	}
+	run := &run{key: runKey{id, r.Attempt}, job: j, task: t, step: st, spec: spec, incarnation: r.Incarnation, state: runUnconfirmed, inherited: true, pace: 100, checkpoint: r.Checkpoint}
+	run.vm, run.leaseExpiresBy = r.VM, r.LeaseExpiresBy
+	p.attach(run, p.ensureTarget(r.Target))
+	if run.leaseExpiresBy.IsZero() {
+		run.leaseExpiresBy = p.wallTime(now).Add(p.Bounds.InheritedLease)
+		p.markTaskDirty(j, id)
+	}
+	if run.target.VM == "" {
+		run.target.VM = r.VM
+	}
+	if j.finished() {
+		p.stop(now, run, "the job has finished")
+	}
+}
--- a/internal/jobs/plan.go
+++ b/internal/jobs/plan.go
@@ -227,7 +227,7 @@
 	}
 	p.attach(r, t)
 	p.awaitingWrite = append(p.awaitingWrite, r)
-	p.markDirty(j)
+	p.markTaskDirty(j, id)
 	p.plannedRuns = append(p.plannedRuns, r)
 }
 
--- a/internal/jobs/pool.go
+++ b/internal/jobs/pool.go
@@ -37,6 +37,7 @@
 	targets        map[work.TargetID]*target
 	sorted         []*target           // cache of sortedTargets; nil after a change
 	dirty          map[work.JobID]*job // changed since the last write
+	segmentTasks   int                 // tasks in a segment of a large job
 	nextWrite      WriteSeq            // number of the next write
 	durable        WriteSeq            // last confirmed write
 	commands       []Command
@@ -65,7 +66,7 @@
 // NewPool returns an empty pool.
 func NewPool(id ident.PoolID) *Pool {
 	return &Pool{
-		ID: id, nextWrite: 1,
+		ID: id, nextWrite: 1, segmentTasks: segmentTasks,
 		queues: map[work.QueueID]work.Queue{}, jobs: map[work.JobID]*job{}, targets: map[work.TargetID]*target{},
 		dirty: map[work.JobID]*job{}, ratios: map[work.QueueID]*timeRatio{}, advice: map[stepKey]*stepAdvice{},
 	}
@@ -111,7 +112,7 @@
 		p.emit(Event{Kind: EventRefused, Job: id, Queue: queue.ID, Detail: decision.Reason, Delay: decision.RetryAfter})
 		return SubmitResult{Refused: true, RetryAfter: decision.RetryAfter}
 	}
-	j := newJob(id, queue.ID, spec, p.wallTime(first))
+	j := newJob(id, queue.ID, spec, p.wallTime(first), p.segmentTasks)
 	p.addJob(now, j)
 	j.firstWrite = p.nextWrite
 	p.markDirty(j)
@@ -208,10 +209,10 @@
 	return n
 }
 
-// Restore adds a job from its record. Call it before the first event.
-func (p *Pool) Restore(now time.Time, r *Record) {
+// Restore adds a job from its records. Call it before the first event.
+func (p *Pool) Restore(now time.Time, r *Record, segments ...*SegmentRecord) {
 	p.addUnknownQueue(r.Queue)
-	j := restoreJob(p, now, r)
+	j := restoreJob(p, now, r, segments)
 	p.addJob(now, j)
 	p.arrivals.restore(p.wallTime(now).Sub(r.Accepted), now, r.ID, p.demand(r.Queue, &r.Spec))
 	p.replan = true
@@ -220,30 +221,62 @@
 // NextWrite returns the number of the next write.
 func (p *Pool) NextWrite() WriteSeq { return p.nextWrite }
 
-// BeginWrite returns the records that have changed since the last call, and the
+// BeginWrite returns what has changed since the last call, and the
 // number of the write that makes all changes so far durable.
-func (p *Pool) BeginWrite() ([]*Record, WriteSeq) {
+func (p *Pool) BeginWrite() ([]Change, WriteSeq) {
 	if len(p.dirty) == 0 {
 		return nil, p.nextWrite
 	}
-	records := make([]*Record, 0, len(p.dirty))
+	changes := make([]Change, 0, len(p.dirty))
 	for _, id := range slices.Sorted(maps.Keys(p.dirty)) {
 		j := p.dirty[id]
-		records = append(records, j.record(p.ID, p.queues[j.queue]))
+		changes = append(changes, j.takeChange(p.ID, p.queues[j.queue]))
 	}
 	clear(p.dirty)
 	n := p.nextWrite
 	p.nextWrite++
-	return records, n
+	return changes, n
 }
 
-// RetryWrite marks the jobs of a failed write as changed again.
-func (p *Pool) RetryWrite(records []*Record) {
-	for _, r := range records {
-		if j := p.jobs[r.ID]; j != nil {
-			p.markDirty(j)
+// RetryWrite marks the changes of a failed write for the next one.
+func (p *Pool) RetryWrite(changes []Change) {
+	for i := range changes {
+		c := &changes[i]
+		j := p.jobs[c.Job]
+		if j == nil || j.stripped {
+			continue
 		}
+		p.noteChange(j)
+		j.recordChanged = j.recordChanged || c.Record != nil
+		for _, s := range c.Segments {
+			j.segments.changed[s.First] = true
+		}
+	}
+}
+
+// RejectChange handles that the log refuses to store a record of a job, whatever its state. A job of which nothing is stored
+// is withdrawn. Another one fails, so that the rest of the pool can go on, and is stored without the state of its tasks.
+func (p *Pool) RejectChange(now time.Time, c Change, recordRejected bool) (withdrawn bool) {
+	j := p.jobs[c.Job]
+	switch {
+	case j == nil:
+		return false
+	case recordRejected && j.firstWrite > p.durable:
+		p.Withdraw(now, j.id)
+		return true
+	case j.withoutTasks:
+		p.emit(Event{Kind: EventFailed, Job: j.id, Queue: j.queue, Detail: "the log rejects the job's record; it is stored no more"})
+		return false
 	}
+	j.withoutTasks = true
+	if j.finished() {
+		p.markDirty(j)
+		return false
+	}
+	j.failed = true
+	p.finish(now, j)
+	p.emit(Event{Kind: EventFailed, Job: j.id, Queue: j.queue, Detail: "the log rejects the state of the job's tasks"})
+	return false
 }
 
 // MarkDurable handles the confirmation that all writes up to write are durable. It releases the start commands and
@@ -273,16 +306,17 @@
 	return commands
 }
 
-// Expire removes the finished jobs whose retention has ended and returns their ids. Of the other finished jobs it drops
+// Expire removes the finished jobs whose retention has ended and returns the keys of their records, in the order in which
+// these must be removed. Of the other finished jobs it drops
 // the tasks, since most of an owner's memory would otherwise be finished jobs.
-func (p *Pool) Expire(now time.Time) []work.JobID {
-	var removed []work.JobID
+func (p *Pool) Expire(now time.Time) []string {
+	var removed []string
 	for id, j := range p.jobs {
 		if j.finished() && j.lastWrite <= p.durable && p.wallTime(now).Sub(j.finishedAt) > maxCommandDelay {
 			j.strip()
 		}
 		if j.finished() && p.wallTime(now).Sub(j.finishedAt) > p.Bounds.Retention && p.dirty[id] == nil {
-			removed = append(removed, id)
+			removed = append(removed, j.keys()...)
 			delete(p.jobs, id)
 		}
 	}
@@ -307,12 +341,28 @@
 	}
 }
 
-// markDirty marks a job's record as changed. A stripped job is not stored again, since its stored record is still
+// markDirty marks a job's record as changed. A stripped job is not stored again, since its stored records are still
 // complete.
 func (p *Pool) markDirty(j *job) {
 	if j.stripped {
 		return
 	}
+	p.noteChange(j)
+	j.recordChanged = true
+}
+
+// markTaskDirty marks the record that holds the state of a task as changed.
+func (p *Pool) markTaskDirty(j *job, id work.TaskID) {
+	if j.segments == nil || j.stripped {
+		p.markDirty(j)
+		return
+	}
+	p.noteChange(j)
+	j.segments.markChanged(id)
+}
+
+// noteChange makes the next write store what is marked as changed of a job.
+func (p *Pool) noteChange(j *job) {
 	j.lastWrite = p.nextWrite
 	p.dirty[j.id] = j
 }
--- a/internal/jobs/pool_test.go
+++ b/internal/jobs/pool_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -16,14 +18,14 @@
 	lastSeq map[work.TargetID]int64
 	runs    map[work.TargetID][]work.RunStatus
 	crashes map[work.TargetID]int64
-	store   map[work.JobID][]byte // the newest record of each job
+	store   map[string][]byte // the newest record of each key
 }
 
 var testQueue = work.Queue{ID: "q", Pool: "pool", MaxAttempts: 2, SlackFactor: 1.6, Objective: 600 * time.Millisecond}
 
 func newHarness(t *testing.T, targets int) *harness {
 	t.Helper()
-	h := &harness{t: t, pool: NewPool("pool"), now: time.Unix(1_700_000_000, 0), lastSeq: map[work.TargetID]int64{}, crashes: map[work.TargetID]int64{}, runs: map[work.TargetID][]work.RunStatus{}, store: map[work.JobID][]byte{}}
+	h := &harness{t: t, pool: NewPool("pool"), now: time.Unix(1_700_000_000, 0), lastSeq: map[work.TargetID]int64{}, crashes: map[work.TargetID]int64{}, runs: map[work.TargetID][]work.RunStatus{}, store: map[string][]byte{}}
 	h.pool.Fence = 1
 	h.pool.Bounds = Bounds{StopTimeout: 400 * time.Millisecond, RemoteCost: 1, Retention: time.Minute, InheritedLease: 9 * time.Second, MaxLease: 5 * time.Second}
 	h.pool.SetQueues([]work.Queue{testQueue})
@@ -67,18 +69,42 @@
 	}
 }
 
-// beginWrite stores the records that have changed, and returns how many these are and the number of the write.
+// beginWrite stores what has changed, and returns of how many jobs and the number of the write.
 func (h *harness) beginWrite() (int, WriteSeq) {
 	h.t.Helper()
-	records, write := h.pool.BeginWrite()
-	for _, r := range records {
-		encoded, err := r.Encode()
-		if err != nil {
-			h.t.Fatal(err)
+	changes, write := h.pool.BeginWrite()
+	for i := range changes {
+		for _, e := range entries(h.t, &changes[i]) {
+			h.store[e.Key] = e.Value
 		}
-		h.store[r.ID] = encoded
 	}
-	return len(records), write
+	return len(changes), write
+}
+
+// entries returns the encoded records of a change.
+func entries(t testing.TB, c *Change) []Entry {
+	t.Helper()
+	out, err := c.Entries()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return out
+}
+
+// restoreAll restores the jobs of a store, which holds the newest record of each key.
+func restoreAll(p *Pool, now time.Time, store map[string][]byte) error {
+	stored := Stored{}
+	for _, key := range slices.Sorted(maps.Keys(store)) {
+		if err := stored.Add(Entry{key, store[key]}); err != nil {
+			return fmt.Errorf("record %s: %w", key, err)
+		}
+	}
+	for _, id := range slices.Sorted(maps.Keys(stored)) {
+		if r := stored[id].Record; r != nil {
+			p.Restore(now, r, stored[id].Segments...)
+		}
+	}
+	return nil
 }
 
 // planAndCarryOut plans, makes all changes durable and carries out the commands.
--- a/internal/jobs/record.go
+++ b/internal/jobs/record.go
@@ -20,12 +20,17 @@
 	Canceled bool         `cbor:"6,keyasint,omitempty"`
 	Failed   bool         `cbor:"7,keyasint,omitempty"`
 	Finished time.Time    `cbor:"8,keyasint,omitempty"` // when it completed, failed or was canceled
-	// Tasks holds the tasks that have been planned at least once and are not done.
+	// Tasks holds the tasks that have been planned at least once and are not done. It, Done and Crashes are empty if
+	// SegmentTasks is set.
 	Tasks []TaskRecord `cbor:"9,keyasint,omitempty"`
 	// Done holds a bitmap of the done tasks for each step of each occurrence.
 	Done [][]byte `cbor:"10,keyasint,omitempty"`
 	// Crashes holds the tasks under which targets have crashed and that are not done.
 	Crashes []CrashRecord `cbor:"11,keyasint,omitempty"`
+	// SegmentTasks is the number of tasks in each [SegmentRecord] of the job; 0 if it has none.
+	SegmentTasks int `cbor:"12,keyasint,omitempty"`
+	// Occurrences is the number of occurrences that have become due, if SegmentTasks is set.
+	Occurrences int `cbor:"13,keyasint,omitempty"`
 }
 
 // TaskRecord is the stored state of a task that has been planned at least once and is not done.
--- a/internal/jobs/run.go
+++ b/internal/jobs/run.go
@@ -249,7 +249,7 @@
 	r.state, r.conclusiveSince = runRunning, now
 	if !r.leaseExpiresBy.IsZero() { // the next owner must wait for the lease that this owner gives
 		r.leaseExpiresBy = time.Time{}
-		p.markDirty(r.job)
+		p.markTaskDirty(r.job, r.key.task)
 	}
 	if r.startedAt.IsZero() {
 		r.startedAt, r.advancedAt = now, now
--- a/internal/jobs/sim_test.go
+++ b/internal/jobs/sim_test.go
@@ -1,9 +1,12 @@
 package jobs
 
 import (
+	"cmp"
 	"fmt"
 	"maps"
+	"math"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -46,7 +49,7 @@
 }
 
 type simWrite struct {
-	records []*Record
+	changes []Change
 	seq     WriteSeq
 	due     time.Time
 }
@@ -58,7 +61,7 @@
 	targets      []*simTarget
 	owner        *simOwner
 	previous     []*simOwner
-	store        map[work.JobID][]byte
+	store        map[string][]byte
 	fence        work.Fence
 	lossPercent  int // of the targets' responses that are lost
 	delayPercent int // of the commands that are carried out seconds later
@@ -91,9 +94,10 @@
 	s.t.Fatalf(format, args...)
 }
 
-func newSimulation(t *rapid.T, seed uint64) *simulation {
+func newSimulation(t *rapid.T, seed uint64, options faultOptions) *simulation {
 	s := &simulation{
-		t: t, now: time.Unix(1_700_000_000, 0), store: map[work.JobID][]byte{}, storeUp: true,
+		faultOptions: options,
+		t:            t, now: time.Unix(1_700_000_000, 0), store: map[string][]byte{}, storeUp: true,
 		done: map[work.TaskID]bool{}, canceled: map[work.JobID]time.Time{}, accepted: map[work.JobID]*work.Spec{},
 		withdrawn: map[work.JobID]bool{}, listedDown: map[work.TargetID]int64{}, failuresLeft: map[work.TaskID]int{},
 		crashesUnder: map[work.TaskID]int{},
@@ -122,7 +126,7 @@
 		// The store fences off the previous owner: a write in flight has been stored by now, or never will be.
 		for _, w := range s.owner.pending {
 			if s.rand(2) == 0 {
-				s.commit(w.records)
+				s.commit(w.changes, s.segmentTasks > 0)
 			}
 		}
 		s.owner.pending = nil
@@ -131,6 +135,7 @@
 	p := NewPool("pool")
 	p.Fence = s.fence
 	p.Bounds = Bounds{StopTimeout: simStopTime, RemoteCost: 1, Retention: time.Hour, InheritedLease: simInheritedLease, MaxLease: simLease + simLease/25}
+	p.segmentTasks = cmp.Or(s.segmentTasks, segmentTasks)
 	p.SetQueues([]work.Queue{{ID: "q", Pool: "pool", MaxAttempts: 3, SlackFactor: 2, Objective: time.Minute}})
 	fence := s.fence
 	p.Events = func(e Event) {
@@ -140,17 +145,8 @@
 		pool: p, fence: s.fence, leaseExpires: map[work.TargetID]time.Time{}, reachable: map[work.TargetID]bool{},
 		incarnations: map[work.TargetID]int64{}, expired: map[work.TargetID]bool{}, reportPending: map[work.TargetID]bool{}, stopped: map[runKey]bool{},
 	}
-	ids := make([]string, 0, len(s.store))
-	for id := range s.store {
-		ids = append(ids, string(id))
-	}
-	slices.Sort(ids)
-	for _, id := range ids {
-		r, err := DecodeRecord(s.store[work.JobID(id)])
-		if err != nil {
-			s.t.Fatalf("record of %s: %v", id, err)
-		}
-		p.Restore(s.now, r)
+	if err := restoreAll(p, s.now, s.store); err != nil {
+		s.t.Fatal(err)
 	}
 	for _, t := range s.targets {
 		s.owner.leaseExpires[t.id] = s.now.Add(simInheritedLease)
@@ -158,15 +154,27 @@
 	}
 }
 
-func (s *simulation) commit(records []*Record) {
-	for _, r := range records {
-		b, err := r.Encode()
+// commit stores the records of a write in order, all of them or, if partial is set, a random number of the first ones.
+func (s *simulation) commit(changes []Change, partial bool) {
+	limit := math.MaxInt
+	if partial {
+		limit = s.rand(2 * len(changes))
+	}
+	for i := range changes {
+		c := &changes[i]
+		entries, err := c.Entries()
 		if err != nil {
 			s.t.Fatalf("encode: %v", err)
 		}
-		s.store[r.ID] = b
-		if _, noted := s.canceled[r.ID]; r.Canceled && !noted {
-			s.canceled[r.ID] = s.now
+		for n, e := range entries {
+			if limit == 0 {
+				return
+			}
+			limit--
+			s.store[e.Key] = e.Value
+			if _, noted := s.canceled[c.Job]; n == 0 && c.Record != nil && c.Record.Canceled && !noted {
+				s.canceled[c.Job] = s.now
+			}
 		}
 	}
 }
@@ -255,13 +263,13 @@
 // write keeps one write in flight at a time. A write takes one step, or longer while the store is unavailable.
 func (s *simulation) write(o *simOwner) {
 	if len(o.pending) == 0 {
-		if records, write := o.pool.BeginWrite(); len(records) > 0 {
-			o.pending = append(o.pending, &simWrite{records, write, s.now.Add(simStep)})
+		if changes, write := o.pool.BeginWrite(); len(changes) > 0 {
+			o.pending = append(o.pending, &simWrite{changes, write, s.now.Add(simStep)})
 		}
 		return
 	}
 	if w := o.pending[0]; s.storeUp && !s.now.Before(w.due) {
-		s.commit(w.records)
+		s.commit(w.changes, false)
 		o.pending = nil
 		o.pool.MarkDurable(s.now, w.seq)
 	}
@@ -379,8 +387,8 @@
 
 // check checks the invariants that must hold at any time.
 func (s *simulation) check() {
-	for id, b := range s.store {
-		if s.withdrawn[id] && len(b) > 0 {
+	for key, b := range s.store {
+		if id, _, _ := strings.Cut(key, keySeparator); s.withdrawn[work.JobID(id)] && len(b) > 0 {
 			s.fail("job %s was withdrawn but is stored", id)
 		}
 	}
@@ -444,7 +452,7 @@
 		s.step()
 	}
 	for _, id := range s.jobIDs() {
-		if _, stored := s.store[id]; !stored {
+		if _, stored := s.store[recordKey(id)]; !stored {
 			continue // its owner was lost before the client was answered
 		}
 		state, known := s.owner.pool.State(id, s.owner.pool.durable)
@@ -512,6 +520,10 @@
 	runRandomFaults(t, faultOptions{maxLag: 10, instantRestarts: true})
 }
 
+// TestRandomFaultsSegments does the same with jobs that have several records, of which the last write of an owner may store
+// only the first ones.
+func TestRandomFaultsSegments(t *testing.T) { runRandomFaults(t, faultOptions{segmentTasks: 2}) }
+
 // faultOptions are what the tests with random faults differ in.
 type faultOptions struct {
 	maxLag   int  // an owner's events are delayed by fewer steps than this
@@ -519,13 +531,13 @@
 	// instantRestarts lets crashed targets be back at once, so that a lagging owner may not know that they were gone.
 	instantRestarts bool
 	resizes         bool // targets lose capacity and get it back
+	segmentTasks    int  // tasks in a segment, of whose records a write may store only some; 0 if jobs have one record
 }
 
 func runRandomFaults(t *testing.T, options faultOptions) {
 	t.Helper()
 	rapid.Check(t, func(t *rapid.T) {
-		s := newSimulation(t, rapid.Uint64().Draw(t, "seed"))
-		s.faultOptions = options
+		s := newSimulation(t, rapid.Uint64().Draw(t, "seed"), options)
 		for i := range 12 {
 			id := work.JobID(fmt.Sprintf("%016x", i+1))
 			spec := &work.Spec{Steps: []work.Step{
--- a/internal/jobs/steps_test.go
+++ b/internal/jobs/steps_test.go
@@ -246,8 +246,10 @@
 	for i := range 10 {
 		h.now = h.now.Add(100 * time.Millisecond)
 		h.pool.Submit(h.now, work.JobID(fmt.Sprintf("%016x", i+1)), testQueue, &work.Spec{Steps: []work.Step{wide}})
-		r, _ := h.pool.BeginWrite()
-		records = append(records, r...)
+		changes, _ := h.pool.BeginWrite()
+		for _, c := range changes {
+			records = append(records, c.Record)
+		}
 	}
 	want := h.pool.Report(h.now, Directives{}).ArrivalRate
 	encoded, err := h.pool.Calibration().Encode()
--- a/internal/jobs/target.go
+++ b/internal/jobs/target.go
@@ -1,6 +1,7 @@
 package jobs
 
 import (
+	"fmt"
 	"maps"
 	"slices"
 	"time"
@@ -374,11 +375,24 @@
 	}
 	p.observeProgress(now, t, r, status.Percent)
 	r.percent, r.tailLatency, r.cpuUsed = status.Percent, status.TailLatency, status.CPU
-	if status.Checkpoint != "" {
+	if status.Checkpoint != r.checkpoint && p.acceptsCheckpoint(t, status.Task, status.Attempt, status.Checkpoint) {
 		r.checkpoint = status.Checkpoint
 	}
 }
 
+// acceptsCheckpoint reports whether a checkpoint is usable. One that is too long to be stored is ignored, so that the task
+// would resume from an earlier one.
+func (p *Pool) acceptsCheckpoint(t *target, id work.TaskID, attempt work.Attempt, checkpoint string) bool {
+	if len(checkpoint) > maxCheckpoint {
+		p.emit(Event{
+			Kind: EventCheckpointIgnored, Job: id.Job, Task: id, Attempt: attempt, Target: t.ID,
+			Detail: fmt.Sprintf("%d bytes, at most %d are stored", len(checkpoint), maxCheckpoint),
+		})
+		return false
+	}
+	return checkpoint != ""
+}
+
 // observeProgress compares the speed of a run with the expected one.
 func (p *Pool) observeProgress(now time.Time, t *target, r *run, percent int) {
 	if r.task == nil || r.spec.Service || r.spec.Estimate <= 0 || percent <= 0 || percent >= 100 || r.pace < 100 || r.resumed {
--- a/internal/jobs/tick.go
+++ b/internal/jobs/tick.go
@@ -105,7 +105,7 @@
 		for _, r := range t.runList() {
 			if r.job != nil && r.leaseExpiresBy.IsZero() {
 				r.leaseExpiresBy = p.wallTime(now).Add(p.Bounds.MaxLease)
-				p.markDirty(r.job)
+				p.markTaskDirty(r.job, r.key.task)
 			}
 		}
 	}
--- a/internal/plog/plog.go
+++ b/internal/plog/plog.go
@@ -30,6 +30,15 @@
 	Value []byte
 }
 
+// Size returns the size by which the log limits records, in bytes.
+func (r *Record) Size() ident.Bytes { return ident.Bytes(1 + len(r.Key) + len(r.Value)) }
+
+// AppendSize returns the size of the record in an append, in bytes.
+func (r *Record) AppendSize() ident.Bytes { return lengthSize + r.Size() }
+
+// lengthSize is the size of the length that precedes each record in an append.
+const lengthSize = 4
+
 // Writer identifies the writer of an append and the number of the append in its sequence, by which the log applies each
 // append at most once. An append without a writer name is neither fenced nor recognized if it is repeated.
 type Writer struct {
@@ -76,6 +85,9 @@
 var (
 	// ErrRefused means that the log rejected the call, which had no effect.
 	ErrRefused = errors.New("the log rejected the call; it had no effect")
+	// ErrInvalid means that the log rejects the records, for example because one exceeds its size limit. The call had no
+	// effect, and neither had or will have any other attempt at it.
+	ErrInvalid = errors.New("the log rejects the records; a repeat is rejected as well")
 	// ErrNoResponse means that the call may have taken effect, or may still do so.
 	ErrNoResponse = errors.New("the log did not answer; the call may have taken effect")
 	// ErrFenced means that a writer with a higher epoch has taken over the partition.
--- a/internal/plog/repeat.go
+++ b/internal/plog/repeat.go
@@ -32,7 +32,7 @@
 var errPanicked = errors.New("an append ended by a panic")
 
 // Append repeats an append, which the log applies once, until the log confirms it or rejects it for good, or ctx is done.
-// The attempts overlap. It returns ErrRefused only if the append has had no effect and will have none: never after an
+// The attempts overlap. It returns ErrInvalid at once, and ErrRefused only if the append has had no effect and will have none: never after an
 // attempt without an answer, and never if partlyStored says that earlier records of the same write are stored.
 func (a *Appender) Append(ctx context.Context, to TopicPartition, w Writer, records []Record, partlyStored bool) error {
 	ctx, cancel := context.WithCancel(ctx)
@@ -64,7 +64,7 @@
 			var seq *SeqError
 			refused := errors.Is(err, ErrRefused)
 			switch {
-			case err == nil, errors.Is(err, ErrFenced), errors.As(err, &seq), errors.Is(err, errPanicked):
+			case err == nil, errors.Is(err, ErrFenced), errors.Is(err, ErrInvalid), errors.As(err, &seq), errors.Is(err, errPanicked):
 				return err
 			case refused && !unknownOutcome && inFlight == 0:
 				return err
--- a/internal/plog/repeat_test.go
+++ b/internal/plog/repeat_test.go
@@ -86,6 +86,20 @@
 	}
 }
 
+// Guards against an append that is repeated for good although the log rejects its records.
+func TestInvalidRecordsAreNotRepeated(t *testing.T) {
+	log, manual, first, result := startAppend(t)
+	repeat(t, log, manual) <- ErrInvalid
+	if err := <-result; !errors.Is(err, ErrInvalid) {
+		t.Errorf("append: %v, want %v", err, ErrInvalid)
+	}
+	select {
+	case first <- nil:
+		t.Error("the first attempt goes on")
+	case <-time.After(20 * time.Millisecond):
+	}
+}
+
 // An append whose only attempt was refused has had no effect.
 func TestRefusalOfTheOnlyAttemptIsFinal(t *testing.T) {
 	_, _, first, result := startAppend(t)
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -26,6 +26,8 @@
 	ErrNotOwner = errors.New("this process does not own the pool")
 	// ErrUnknownOutcome means that the change may or may not become durable.
 	ErrUnknownOutcome = errors.New("it is not known whether the change is stored")
+	// ErrInvalid means that the log rejects the job's record, so that the job can't be stored.
+	ErrInvalid = errors.New("the log rejects the job's record")
 	// ErrNotStored means that the change was not stored and will not be.
 	ErrNotStored = errors.New("the log is out of reach; nothing was stored")
 )
@@ -83,6 +85,7 @@
 	Epoch      plog.Epoch
 	Log        plog.Log
 	Targets    Targets
+	MaxAppend  ident.Bytes   // limit of the log on the size of an append; 0 if there is none
 	Adviser    agent.Adviser // nil if there is no advice service
 	Bounds     jobs.Bounds
 	Clock      clock.Clock
@@ -199,7 +202,7 @@
 
 func (s *Shard) run() {
 	s.takeoverStart = s.Clock.Now()
-	records, err := s.takeOver()
+	stored, err := s.takeOver()
 	if err != nil {
 		s.Logger.Info("takeover failed", "partition", s.Partition, "epoch", s.Epoch, "error", err)
 		return
@@ -211,9 +214,7 @@
 	for _, c := range s.calibrations {
 		s.pool(c.Pool).RestoreCalibration(c)
 	}
-	for _, r := range records {
-		s.pool(r.Pool).Restore(now, r)
-	}
+	s.restore(now, stored)
 	for _, q := range s.Queues() {
 		if PartitionOf(q.Pool, s.Partitions) == s.Partition {
 			s.pool(q.Pool) // so that its targets are known before the first job arrives
@@ -222,7 +223,7 @@
 	for _, p := range s.pools {
 		s.refresh(now, p)
 	}
-	s.Logger.Info("partition taken over", "partition", s.Partition, "epoch", s.Epoch, "jobs", len(records), "took", now.Sub(s.takeoverStart))
+	s.Logger.Info("partition taken over", "partition", s.Partition, "epoch", s.Epoch, "jobs", len(stored), "took", now.Sub(s.takeoverStart))
 	if s.RecordTakeover != nil {
 		s.RecordTakeover(now.Sub(s.takeoverStart))
 	}
@@ -320,8 +321,8 @@
 	if now.Sub(s.lastExpiry) > expirePeriod {
 		s.lastExpiry = now
 		for _, p := range s.pools {
-			for _, id := range p.Expire(now) {
-				s.tombstones = append(s.tombstones, plog.Record{Key: string(id)})
+			for _, key := range p.Expire(now) {
+				s.tombstones = append(s.tombstones, plog.Record{Key: key})
 			}
 		}
 	}
--- a/internal/shard/write.go
+++ b/internal/shard/write.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"strings"
 	"time"
 
@@ -12,6 +14,7 @@
 	"github.com/toucanhatch/toucanhatch/internal/panics"
 	"github.com/toucanhatch/toucanhatch/internal/plog"
 	"github.com/toucanhatch/toucanhatch/internal/work"
+	"github.com/toucanhatch/toucanhatch/pkg/ident"
 )
 
 const (
@@ -31,16 +34,19 @@
 	// calibrationPeriod is the shortest time between two writes of the calibrations, which change slowly. They are
 	// written only together with other records.
 	calibrationPeriod = 2 * time.Second
-	// maxWriteBytes bounds the records of one append, well below the log's limit.
-	maxWriteBytes = 1 << 20
+	// maxWriteBytes bounds the records of one append where the log's limit is higher.
+	maxWriteBytes ident.Bytes = 1 << 20
 )
 
+var proofRecord = plog.Record{Key: proofKey, Value: []byte{1}}
+
 // write is a write in flight: all changes of the pools since the previous one, in one or more appends.
 type write struct {
 	startedAt    time.Time
 	writeSeqs    map[*pool]jobs.WriteSeq
-	records      map[*pool][]*jobs.Record
+	changes      map[*pool][]jobs.Change
 	proofWaiters []chan error
+	invalid      map[string]bool // keys of the records that the log has rejected
 }
 
 // startWrite writes all changes, unless a write is in flight or the last one was refused less than refusedPause ago.
@@ -48,7 +54,7 @@
 	if s.inFlight != nil {
 		return
 	}
-	w := &write{startedAt: now, writeSeqs: map[*pool]jobs.WriteSeq{}, records: map[*pool][]*jobs.Record{}}
+	w := &write{startedAt: now, writeSeqs: map[*pool]jobs.WriteSeq{}, changes: map[*pool][]jobs.Change{}, invalid: map[string]bool{}}
 	records := s.tombstones
 	s.tombstones = nil
 	for _, p := range s.pools {
@@ -56,18 +62,20 @@
 		if len(changed) == 0 {
 			continue
 		}
-		w.writeSeqs[p], w.records[p] = writeSeq, changed
-		for _, r := range changed {
-			value, err := r.Encode()
+		w.writeSeqs[p], w.changes[p] = writeSeq, changed
+		for i := range changed {
+			entries, err := changed[i].Entries()
 			if err != nil {
-				s.Logger.Error("cannot encode job record", "job", r.ID, "error", err)
+				s.Logger.Error("cannot encode the records of a job", "job", changed[i].Job, "error", err)
 				continue
 			}
-			records = append(records, plog.Record{Key: string(r.ID), Value: value})
+			for _, e := range entries {
+				records = append(records, plog.Record(e))
+			}
 		}
 	}
 	if len(s.proofWaiters) > 0 && len(records) == 0 {
-		records = append(records, plog.Record{Key: proofKey, Value: []byte{1}})
+		records = append(records, proofRecord)
 	}
 	if len(records) == 0 {
 		return
@@ -105,29 +113,61 @@
 
 // append executes a write, and posts its result once the log has responded.
 func (s *Shard) append(w *write, records []plog.Record) {
-	appender := plog.Appender{Log: s.Log, Clock: s.Clock, Logger: s.Logger}
 	var err error
-	for i, chunk := range chunks(records) {
-		s.seq++
+	for i, chunk := range s.chunks(records) {
 		// Once a chunk is stored, a refusal of a later chunk must not withdraw the whole write.
-		if err = appender.Append(s.ctx, s.topicPartition(), plog.Writer{Name: writerName, Epoch: s.Epoch, Seq: s.seq}, chunk, i > 0); err != nil {
-			s.seq--
+		if err = s.appendValid(w, chunk, i > 0); err != nil {
 			break
 		}
 	}
+	if err == nil && len(w.invalid) == len(records) { // the records are not the cause if the log rejects any record
+		err = s.appendChunk([]plog.Record{proofRecord}, true)
+	}
 	if s.RecordWrite != nil {
 		s.RecordWrite(s.Clock.Now().Sub(w.startedAt))
 	}
 	s.post(func(now time.Time) { s.writeDone(now, w, err) })
 }
 
-// chunks splits records into appends of at most maxWriteBytes, or of one record.
-func chunks(records []plog.Record) [][]plog.Record {
+// appendValid appends the records that the log doesn't reject as invalid, and notes the others in w.
+func (s *Shard) appendValid(w *write, records []plog.Record, partlyStored bool) error {
+	err := s.appendChunk(records, partlyStored)
+	switch {
+	case !errors.Is(err, plog.ErrInvalid):
+		return err
+	case len(records) == 1:
+		w.invalid[records[0].Key] = true
+		s.Logger.Error("the log rejects a record", "partition", s.Partition, "key", records[0].Key, "bytes", records[0].Size(), "error", err)
+		return nil
+	}
+	half := len(records) / 2
+	if err := s.appendValid(w, records[:half], true); err != nil {
+		return err
+	}
+	return s.appendValid(w, records[half:], true)
+}
+
+func (s *Shard) appendChunk(records []plog.Record, partlyStored bool) error {
+	appender := plog.Appender{Log: s.Log, Clock: s.Clock, Logger: s.Logger}
+	s.seq++
+	err := appender.Append(s.ctx, s.topicPartition(), plog.Writer{Name: writerName, Epoch: s.Epoch, Seq: s.seq}, records, partlyStored)
+	if err != nil {
+		s.seq--
+	}
+	return err
+}
+
+// chunks splits records into appends of at most maxWriteBytes and the log's limit, or of one record.
+func (s *Shard) chunks(records []plog.Record) [][]plog.Record {
+	limit := maxWriteBytes
+	if s.MaxAppend > 0 {
+		limit = min(limit, s.MaxAppend)
+	}
 	var out [][]plog.Record
-	size, from := 0, 0
+	size, from := ident.Bytes(0), 0
 	for i := range records {
-		n := len(records[i].Key) + len(records[i].Value)
-		if size+n > maxWriteBytes && i > from {
+		n := records[i].AppendSize()
+		if size+n > limit && i > from {
 			out = append(out, records[from:i])
 			size, from = 0, i
 		}
@@ -139,6 +179,12 @@
 // writeDone handles the result of a write.
 func (s *Shard) writeDone(now time.Time, w *write, err error) {
 	switch {
+	case err == nil && len(w.invalid) > 0:
+		s.inFlight = nil
+		for _, reply := range w.proofWaiters {
+			reply <- nil
+		}
+		s.recordsRejected(now, w)
 	case err == nil:
 		s.inFlight = nil
 		for _, reply := range w.proofWaiters {
@@ -167,13 +213,31 @@
 	}
 }
 
+// recordsRejected handles a write of which some records were invalid. The next write repeats the others, since all changes
+// of a write become durable together.
+func (s *Shard) recordsRejected(now time.Time, w *write) {
+	for p, changes := range w.changes {
+		var valid []jobs.Change
+		for _, c := range changes {
+			record, segments := c.Rejected(w.invalid)
+			switch {
+			case !record && !segments:
+				valid = append(valid, c)
+			case p.RejectChange(now, c, record):
+				p.reply(func(x waiter) bool { return x.job == c.Job }, ErrInvalid)
+			}
+		}
+		p.RetryWrite(valid)
+	}
+}
+
 // writeRefused withdraws the jobs submitted in a write that was not carried out, so that their
 // clients can be refused, and marks the other changes for the next write.
 func (s *Shard) writeRefused(now time.Time, w *write) {
-	for p, records := range w.records {
+	for p, changes := range w.changes {
 		writeSeq := w.writeSeqs[p]
 		p.refuseWaiting(now, func(x waiter) bool { return x.writeSeq <= writeSeq })
-		p.RetryWrite(records)
+		p.RetryWrite(changes)
 	}
 }
 
@@ -219,14 +283,14 @@
 }
 
 // takeOver fences the previous owner and reads the state that it stored.
-func (s *Shard) takeOver() ([]*jobs.Record, error) {
+func (s *Shard) takeOver() (jobs.Stored, error) {
 	err := s.retry(func(ctx context.Context) error {
 		return s.Log.Append(ctx, s.topicPartition(), plog.Writer{Name: writerName, Epoch: s.Epoch, Seq: 0}, nil)
 	})
 	if err != nil {
 		return nil, err
 	}
-	var records []*jobs.Record
+	stored := jobs.Stored{}
 	after := ""
 	for {
 		var page plog.Page
@@ -242,15 +306,27 @@
 			if r.Key == proofKey || s.readCalibration(r) {
 				continue
 			}
-			record, err := jobs.DecodeRecord(r.Value)
-			if err != nil {
+			if err := stored.Add(jobs.Entry(r)); err != nil {
 				s.Logger.Error("cannot decode job record", "partition", s.Partition, "key", r.Key, "error", err)
-				continue
 			}
-			records = append(records, record)
 		}
 		if !page.More {
-			return records, nil
+			return stored, nil
+		}
+	}
+}
+
+// restore passes the stored jobs to their pools. Segments without a record are removed: they remain of a job whose
+// removal, or whose submission, was stored in part.
+func (s *Shard) restore(now time.Time, stored jobs.Stored) {
+	for _, id := range slices.Sorted(maps.Keys(stored)) {
+		j := stored[id]
+		if j.Record != nil {
+			s.pool(j.Record.Pool).Restore(now, j.Record, j.Segments...)
+			continue
+		}
+		for _, segment := range j.Segments {
+			s.tombstones = append(s.tombstones, plog.Record{Key: segment.Key()})
 		}
 	}
 }
--- a/internal/work/types.go
+++ b/internal/work/types.go
@@ -97,6 +97,15 @@
 // Occurrences returns how many times the job runs.
 func (s *Spec) Occurrences() int { return max(1, s.Repeat) }
 
+// Tasks returns the number of tasks of all occurrences.
+func (s *Spec) Tasks() int {
+	n := 0
+	for i := range s.Steps {
+		n += s.Steps[i].Count
+	}
+	return n * s.Occurrences()
+}
+
 // Due returns when an occurrence may start. It is the zero time for a job that isn't scheduled.
 func (s *Spec) Due(occurrence int) time.Time {
 	if s.Repeat == 0 {
@@ -105,7 +114,7 @@
 	return s.FirstAt.Add(time.Duration(occurrence) * s.Period)
 }
 
-// Limits on a job specification. They bound the size of a stored job record.
+// Limits on a job specification. They bound the number of its stored records, and their size together with the log's limits.
 const (
 	maxPayload     = 4000 // bytes
 	maxSteps       = 256
