jobs: a run that is missing beside a full page of ends is not lost

Cause: a target lists 500 ends at a time. While ends can't be stored, they aren't acknowledged, and later ones are in no list; Pool.handleMissing took each report for complete. Ruled out: lapsed leases (none), takeovers (none in the script).

Change: a report with a full page of ends is no evidence about runs that it doesn't name. Why this works: the rest of the ends follows once these are acknowledged, and a run is then named in one list or the other.

--- a/internal/jobs/pool_test.go
+++ b/internal/jobs/pool_test.go
@@ -326,6 +326,34 @@
 	}
 }
 
+// Guards against runs that start again although they have ended done: a target with many ends lists only the first ones, and
+// a run that it doesn't name was taken for lost.
+func TestRunMissingBesideMoreEndsIsNotLost(t *testing.T) {
+	h := newHarness(t, 1)
+	step := smallStep
+	step.Count = 2
+	h.submit(step)
+	started := h.planAndCarryOut()
+	if len(started) != 2 {
+		t.Fatalf("%d tasks started, want 2", len(started))
+	}
+	end := func(n int) work.RunEnd {
+		return work.RunEnd{Seq: int64(n + 1), Task: started[n].Task, Attempt: started[n].Attempt, Kind: work.EndDone}
+	}
+	h.now = h.now.Add(time.Second)
+	report := work.RunReport{Target: "t0", Incarnation: 1000, RequestedAt: h.now, Ended: []work.RunEnd{end(0)}, MoreEnds: true}
+	h.pool.HandleRunReport(h.now, report)
+	if again := h.planAndCarryOut(); len(again) > 0 {
+		t.Fatalf("started again: %v", again)
+	}
+	h.now = h.now.Add(time.Second)
+	report.RequestedAt, report.Ended, report.MoreEnds = h.now, []work.RunEnd{end(1)}, false
+	h.pool.HandleRunReport(h.now, report)
+	if got, _ := h.pool.State(largeID, h.pool.NextWrite()); got != work.Completed {
+		t.Errorf("state %q after both ends, want %q", got, work.Completed)
+	}
+}
+
 // Guards against a task that is stopped for being slow again and again, although
 // only its estimate is far too low.
 func TestLowEstimateDoesNotMakeTargetSlow(t *testing.T) {
--- a/internal/jobs/sim_test.go
+++ b/internal/jobs/sim_test.go
@@ -320,6 +320,9 @@
 	for _, key := range t.keys() {
 		report.Running = append(report.Running, work.RunStatus{Task: key.task, Attempt: key.attempt, Percent: 50})
 	}
+	if s.maxEnds > 0 && len(report.Ended) >= s.maxEnds {
+		report.Ended, report.MoreEnds = report.Ended[:s.maxEnds], true
+	}
 	o.reportPending[t.id] = true
 	s.afterLag(o, func() {
 		o.reportPending[t.id] = false
@@ -520,6 +523,9 @@
 	runRandomFaults(t, faultOptions{maxLag: 10, instantRestarts: true})
 }
 
+// TestRandomFaultsPagedEnds does the same with targets that list one end at a time.
+func TestRandomFaultsPagedEnds(t *testing.T) { runRandomFaults(t, faultOptions{maxEnds: 1}) }
+
 // TestRandomFaultsSegments does the same with jobs that have several records, of which the last write of an owner may store
 // only the first ones.
 func TestRandomFaultsSegments(t *testing.T) { runRandomFaults(t, faultOptions{segmentTasks: 2}) }
@@ -531,6 +537,7 @@
 	// instantRestarts lets crashed targets be back at once, so that a lagging owner may not know that they were gone.
 	instantRestarts bool
 	resizes         bool // targets lose capacity and get it back
+	maxEnds         int  // ends that a target lists in one report; 0 sets no limit
 	segmentTasks    int  // tasks in a segment, of whose records a write may store only some; 0 if jobs have one record
 }
 
--- a/internal/jobs/target.go
+++ b/internal/jobs/target.go
@@ -440,8 +440,12 @@
 	return r
 }
 
-// handleMissing ends the runs that the target no longer has: a conclusive report does not name them.
+// handleMissing ends the runs that the target no longer has: a conclusive report does not name them. One that leaves ends
+// out is not conclusive.
 func (p *Pool) handleMissing(now time.Time, t *target, report *work.RunReport) {
+	if report.MoreEnds {
+		return
+	}
 	reported := make(map[runKey]bool, len(report.Running))
 	for i := range report.Running {
 		reported[runKey{report.Running[i].Task, report.Running[i].Attempt}] = true
--- a/internal/work/types.go
+++ b/internal/work/types.go
@@ -262,6 +262,9 @@
 	RequestedAt time.Time // when the request for the report was sent
 	Running     []RunStatus
 	Ended       []RunEnd
+	// MoreEnds says that the target may have further ends, which it reports once some of these are acknowledged. A run that
+	// is not in the report may have ended with one of them.
+	MoreEnds bool
 }
 
 // Registration is the entry of a target in the platform's list of live targets.
