lookup: an entry of another writer ends no target that answers

Cause: lookup.Directory noted the newest target of each VM from every entry that could be decoded, and the owner ended the runs of a target whose VM had a newer one, every 100 ms. Ruled out: the target (it was up, leased and listed the runs), its own registration.

Change: only registrations for configured pools count, and none that starts over an hour ahead. A target that has answered a request sent after the newer registration was first seen has not ended. It is asked at once, and the registration counts if it is unreachable or doesn't answer within half a second. Why this works: a VM runs one target at a time, so that an answer proves the registration wrong.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -264,6 +264,9 @@
 	a.Clock.AfterFunc(d, func() { panics.Catch(a.Logger, "list of a target", a.refresh) })
 }
 
+// Probe requests a run report soon, besides the long poll.
+func (a *Agent) Probe() { a.refreshAfter(0) }
+
 // refresh requests a run report without extending the lease or acknowledging ends.
 func (a *Agent) refresh() {
 	allowed := a.Handler.Permit()
--- a/internal/jobd/daemon.go
+++ b/internal/jobd/daemon.go
@@ -202,7 +202,7 @@
 	d.standby = &standby{
 		Log: p.Log, PeerAddress: s.PeerAddress, CPU: s.CPU(), PeerClient: d.service.PeerClient, Owners: d.owners, Partitions: s.Log.Partitions, Clock: d.Clock, Logger: d.Logger,
 	}
-	d.directory = &lookup.Directory{Decode: p.DecodeRegistration, Clock: d.Clock, Logger: d.Logger}
+	d.directory = &lookup.Directory{Decode: p.DecodeRegistration, Pools: d.service.Configured, Clock: d.Clock, Logger: d.Logger}
 }
 
 func (d *Daemon) listen(ctx context.Context) (client, ready, peer net.Listener, err error) {
--- a/internal/jobd/shards.go
+++ b/internal/jobd/shards.go
@@ -8,6 +8,7 @@
 	"github.com/toucanhatch/toucanhatch/internal/ctrl"
 	"github.com/toucanhatch/toucanhatch/internal/group"
 	"github.com/toucanhatch/toucanhatch/internal/jobs"
+	"github.com/toucanhatch/toucanhatch/internal/lookup"
 	"github.com/toucanhatch/toucanhatch/internal/panics"
 	"github.com/toucanhatch/toucanhatch/internal/plog"
 	"github.com/toucanhatch/toucanhatch/internal/shard"
@@ -99,10 +100,8 @@
 	return t.d.Platform.NewTargetClient(reg.ID, reg.Addr)
 }
 
-// Incarnation implements shard.Targets.
-func (t shardTargets) Incarnation(vm work.VMID) (work.TargetID, int64) {
-	return t.d.directory.Incarnation(vm)
-}
+// Newest implements shard.Targets.
+func (t shardTargets) Newest(vm work.VMID) lookup.NewestTarget { return t.d.directory.Newest(vm) }
 
 // WaitSynced implements shard.Targets.
 func (t shardTargets) WaitSynced(ctx context.Context) { t.d.targetWatcher.WaitSynced(ctx) }
--- a/internal/jobs/tick.go
+++ b/internal/jobs/tick.go
@@ -130,6 +130,32 @@
 	}
 }
 
+// successorDelay is how long after the registration of a newer target on its VM a target has to answer a request. Targets
+// answer within milliseconds.
+const successorDelay = 500 * time.Millisecond
+
+// HandleSuccessor handles the registration of a newer target on the VM of a target, which this process first saw at a time.
+// The registration shows that the target has ended, unless it has answered a request since: then another writer has made
+// it. If undecided is true, the target should be asked, and the call be repeated.
+func (p *Pool) HandleSuccessor(now time.Time, id work.TargetID, incarnation int64, since time.Time) (undecided bool) {
+	t := p.targets[id]
+	if t == nil {
+		return false
+	}
+	if since.Before(p.OwnedSince) {
+		since = p.OwnedSince // it has not been asked before
+	}
+	switch {
+	case t.reportRequestedAt.After(since):
+		return false
+	case t.unreachable || now.Sub(since) > successorDelay:
+		p.HandleRestart(now, id, incarnation)
+		return false
+	default:
+		return true
+	}
+}
+
 // VM returns the VM of a target that may still have runs; empty if it is unknown or the target has none.
 func (p *Pool) VM(id work.TargetID) work.VMID {
 	if t := p.targets[id]; t != nil && len(t.runs) > 0 {
--- a/internal/lookup/directory.go
+++ b/internal/lookup/directory.go
@@ -5,9 +5,11 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/toucanhatch/toucanhatch/internal/clock"
+	"github.com/toucanhatch/toucanhatch/internal/panics"
 	"github.com/toucanhatch/toucanhatch/internal/plog"
 	"github.com/toucanhatch/toucanhatch/internal/work"
 	"github.com/toucanhatch/toucanhatch/pkg/ident"
@@ -21,21 +23,27 @@
 type Directory struct {
 	// Decode decodes a registration; an error means that the record describes no usable target.
 	Decode func(key string, value []byte) (work.Registration, error)
+	// Pools returns the configured pools. Another writer may register a VM of the fleet for a pool of its own.
+	Pools  func() []work.PoolConfig
 	Clock  clock.Clock
 	Logger hclog.Logger
 
 	mu       sync.Mutex
 	entries  map[work.TargetID]*entry
-	newest   map[work.VMID]newestTarget
+	newest   map[work.VMID]map[ident.PoolID]NewestTarget
 	unusable map[string]bool
 }
 
-// newestTarget is the target with the highest incarnation that was registered for a VM.
-type newestTarget struct {
-	target      work.TargetID
-	incarnation int64
+// NewestTarget is the target with the highest incarnation that was registered for a VM.
+type NewestTarget struct {
+	ID          work.TargetID // empty if there is none
+	Incarnation int64
+	Since       time.Time // when this incarnation was first seen
 }
 
+// maxIncarnationLead is by how much the start of a target may be in the future, by the clock of this process.
+const maxIncarnationLead = time.Hour
+
 type entry struct {
 	reg     work.Registration
 	removed time.Time // zero while the target is registered
@@ -68,7 +76,7 @@
 // put applies a record and reports whether it registers a target.
 func (d *Directory) put(r plog.Record) bool {
 	if d.entries == nil {
-		d.entries, d.unusable, d.newest = map[work.TargetID]*entry{}, map[string]bool{}, map[work.VMID]newestTarget{}
+		d.entries, d.unusable, d.newest = map[work.TargetID]*entry{}, map[string]bool{}, map[work.VMID]map[ident.PoolID]NewestTarget{}
 	}
 	id := work.TargetID(r.Key)
 	if len(r.Value) == 0 {
@@ -77,7 +85,7 @@
 		}
 		return false
 	}
-	reg, err := d.Decode(r.Key, r.Value)
+	reg, err := d.decode(r)
 	if err != nil {
 		if !d.unusable[r.Key] {
 			d.unusable[r.Key] = true
@@ -90,25 +98,58 @@
 	}
 	delete(d.unusable, r.Key)
 	d.entries[id] = &entry{reg: reg}
-	if reg.VM != "" && reg.Incarnation >= d.newest[reg.VM].incarnation {
-		d.newest[reg.VM] = newestTarget{id, reg.Incarnation}
+	if reg.VM != "" {
+		d.noteNewest(reg)
 	}
 	return true
 }
 
+// decode decodes a record, and returns an error if that panics or the registration can't be right.
+func (d *Directory) decode(r plog.Record) (work.Registration, error) {
+	var reg work.Registration
+	var err error
+	if !panics.Catch(d.Logger.With("key", r.Key), "registration", func() { reg, err = d.Decode(r.Key, r.Value) }) {
+		return reg, errors.New("the registration can't be decoded")
+	}
+	if latest := d.Clock.Now().Add(maxIncarnationLead).UnixMilli(); err == nil && reg.Incarnation > latest {
+		err = errors.Newf("the target has started at %d ms, in the future", reg.Incarnation)
+	}
+	return reg, err
+}
+
+// noteNewest keeps the newest target of the registration's VM in its pool.
+func (d *Directory) noteNewest(reg work.Registration) {
+	byPool := d.newest[reg.VM]
+	if byPool == nil {
+		byPool = map[ident.PoolID]NewestTarget{}
+		d.newest[reg.VM] = byPool
+	}
+	n, known := byPool[reg.Pool]
+	if known && (reg.Incarnation < n.Incarnation || reg.Incarnation == n.Incarnation && reg.ID == n.ID) {
+		return
+	}
+	byPool[reg.Pool] = NewestTarget{reg.ID, reg.Incarnation, d.Clock.Now()}
+}
+
 func (d *Directory) remove(e *entry) {
 	if e.removed.IsZero() {
 		e.removed = d.Clock.Now()
 	}
 }
 
-// Incarnation returns the target that a VM runs and the target's incarnation, according to the registration with the
-// highest incarnation.
-func (d *Directory) Incarnation(vm work.VMID) (id work.TargetID, incarnation int64) {
+// Newest returns the target that a VM runs, according to the registration with the highest incarnation of those for
+// configured pools.
+func (d *Directory) Newest(vm work.VMID) NewestTarget {
+	pools := d.Pools()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	n := d.newest[vm]
-	return n.target, n.incarnation
+	var newest NewestTarget
+	for _, p := range pools {
+		if n, known := d.newest[vm][p.ID]; known && (newest.ID == "" || n.Incarnation > newest.Incarnation) {
+			newest = n
+		}
+	}
+	return newest
 }
 
 // Snapshot returns the registered targets of a pool, sorted by id.
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -10,6 +10,7 @@
 	"github.com/toucanhatch/toucanhatch/internal/agent"
 	"github.com/toucanhatch/toucanhatch/internal/clock"
 	"github.com/toucanhatch/toucanhatch/internal/jobs"
+	"github.com/toucanhatch/toucanhatch/internal/lookup"
 	"github.com/toucanhatch/toucanhatch/internal/panics"
 	"github.com/toucanhatch/toucanhatch/internal/permit"
 	"github.com/toucanhatch/toucanhatch/internal/plog"
@@ -72,8 +73,8 @@
 	Client(reg work.Registration) agent.Client
 	// Snapshot returns the registered targets of a pool.
 	Snapshot(pool ident.PoolID) []work.Registration
-	// Incarnation returns the newest target that was seen on a VM and its incarnation; 0 if there is none.
-	Incarnation(work.VMID) (id work.TargetID, incarnation int64)
+	// Newest returns the newest target that was registered for a VM.
+	Newest(work.VMID) lookup.NewestTarget
 	// WaitSynced waits until the live list of targets has been read, or ctx is done.
 	WaitSynced(ctx context.Context)
 }
--- a/internal/shard/shard_test.go
+++ b/internal/shard/shard_test.go
@@ -15,6 +15,7 @@
 	"github.com/toucanhatch/toucanhatch/internal/agent"
 	"github.com/toucanhatch/toucanhatch/internal/clock"
 	"github.com/toucanhatch/toucanhatch/internal/fakes"
+	"github.com/toucanhatch/toucanhatch/internal/lookup"
 	"github.com/toucanhatch/toucanhatch/internal/plog"
 	"github.com/toucanhatch/toucanhatch/internal/work"
 	"github.com/toucanhatch/toucanhatch/pkg/ident"
@@ -23,10 +24,10 @@
 // noTargets implements Targets without any target.
 type noTargets struct{}
 
-func (noTargets) Client(work.Registration) agent.Client                       { return nil }
-func (noTargets) Snapshot(ident.PoolID) []work.Registration                   { return nil }
-func (noTargets) Incarnation(work.VMID) (id work.TargetID, incarnation int64) { return "", 0 }
-func (noTargets) WaitSynced(context.Context)                                  {}
+func (noTargets) Client(work.Registration) agent.Client     { return nil }
+func (noTargets) Snapshot(ident.PoolID) []work.Registration { return nil }
+func (noTargets) Newest(work.VMID) lookup.NewestTarget      { return lookup.NewestTarget{} }
+func (noTargets) WaitSynced(context.Context)                {}
 
 func startShard(t *testing.T, log plog.Log, epoch plog.Epoch) *Shard {
 	t.Helper()
--- a/internal/shard/targets.go
+++ b/internal/shard/targets.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/toucanhatch/toucanhatch/internal/agent"
+	"github.com/toucanhatch/toucanhatch/internal/lookup"
 	"github.com/toucanhatch/toucanhatch/internal/work"
 )
 
@@ -34,14 +35,25 @@
 	}
 	for _, id := range p.TargetIDs() {
 		if vm := p.VM(id); vm != "" {
-			if current, incarnation := s.Targets.Incarnation(vm); current != id {
-				p.HandleRestart(now, id, incarnation)
-			}
+			s.checkNewest(now, p, id, s.Targets.Newest(vm))
 		}
 	}
 	s.expireOrphanedTargets(now, p, live)
 }
 
+// checkNewest passes the newest registration of a target's VM to the pool if it is that of another target.
+func (s *Shard) checkNewest(now time.Time, p *pool, id work.TargetID, newest lookup.NewestTarget) {
+	if newest.ID == "" || newest.ID == id {
+		return
+	}
+	if undecided := p.HandleSuccessor(now, id, newest.Incarnation, newest.Since); !undecided {
+		return
+	}
+	if h := p.agents[id]; h != nil {
+		h.Probe() // an answer would show that the registration is wrong
+	}
+}
+
 // expireOrphanedTargets ends the runs that records place on targets missing from the list of live
 // targets, once all leases of the previous owner have expired. No owner can reach such targets.
 func (s *Shard) expireOrphanedTargets(now time.Time, p *pool, live map[work.TargetID]bool) {
