agent: a probe doesn't cancel the first request to a target

Cause, from a log with the whole error ("use of closed network connection"): Agent.refresh compares the incarnation that answers with the one that it knows, 0 before the first answer, and takes the difference for a restart: it canceled the first request. The target counted as unreachable for 0.2 s, and an entry of another writer with its VM then ended its runs.

Failed before: TestProbeKeepsFirstRequest, TestSuccessorIsUndecidedAfterTakeover.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -264,7 +264,7 @@
 	a.Clock.AfterFunc(d, func() { panics.Catch(a.Logger, "list of a target", a.refresh) })
 }
 
-// Probe requests a run report soon, besides the long poll.
+// Probe requests a run report soon, besides the long poll, if the target has answered before.
 func (a *Agent) Probe() { a.refreshAfter(0) }
 
 // refresh requests a run report without extending the lease or acknowledging ends.
@@ -279,6 +279,9 @@
 	a.mu.Lock()
 	incarnation := a.incarnation
 	a.mu.Unlock()
+	if incarnation == 0 {
+		return // the first request is in progress
+	}
 	response, err := a.Client.Hold(ctx, HoldRequest{Fence: a.Fence})
 	if err != nil {
 		return // the long poll handles it
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -349,3 +349,37 @@
 		t.Error("the start was sent after its run was stopped")
 	}
 }
+
+// slowClient answers after a while, unless the request is canceled before.
+type slowClient struct {
+	silentClient
+	canceled atomic.Int32
+}
+
+func (s *slowClient) Hold(ctx context.Context, _ HoldRequest) (HoldResponse, error) {
+	select {
+	case <-time.After(50 * time.Millisecond):
+		return HoldResponse{Clock: 1, Report: work.RunReport{Target: "t", Incarnation: 2}}, nil
+	case <-ctx.Done():
+		s.canceled.Add(1)
+		return HoldResponse{}, ErrNoResponse
+	}
+}
+
+// Guards against a probe that cancels the first request to a target, which then counts as unreachable: its incarnation,
+// unknown until then, was taken for one that had ended.
+func TestProbeKeepsFirstRequest(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	client := &slowClient{}
+	a := New(ctx, "t")
+	a.Client, a.Handler, a.Clock, a.Logger, a.Lease = client, &countingHandler{}, clock.System(), hclog.NewNullLogger(), time.Second
+	go a.Run()
+	for range 20 {
+		a.Probe()
+		time.Sleep(10 * time.Millisecond)
+	}
+	if got := client.canceled.Load(); got > 0 {
+		t.Errorf("%d requests were canceled, want none", got)
+	}
+}
--- a/internal/jobs/successor_test.go
+++ b/internal/jobs/successor_test.go
@@ -58,7 +58,12 @@
 func TestSuccessorIsUndecidedAfterTakeover(t *testing.T) {
 	h := newHarness(t, 1)
 	h.pool.OwnedSince = h.now
+	h.pool.targets["t0"].reportedIncarnation = 0
+	h.pool.MarkUnreachable(h.now, "t0") // the first response was lost
 	if !h.pool.HandleSuccessor(h.now.Add(successorDelay/2), "t0", 9000, h.now.Add(-time.Hour)) {
 		t.Error("decided before the target had time to answer this owner")
 	}
+	if h.pool.HandleSuccessor(h.now.Add(successorDelay+1), "t0", 9000, h.now.Add(-time.Hour)) {
+		t.Error("undecided although the target has not answered in time")
+	}
 }
--- a/internal/jobs/tick.go
+++ b/internal/jobs/tick.go
@@ -136,7 +136,8 @@
 
 // HandleSuccessor handles the registration of a newer target on the VM of a target, which this process first saw at a time.
 // The registration shows that the target has ended, unless it has answered a request since: then another writer has made
-// it. If undecided is true, the target should be asked, and the call be repeated.
+// it. One that has not answered this owner gets successorDelay to do so, since a single response may be lost. If undecided
+// is true, the target should be asked, and the call be repeated.
 func (p *Pool) HandleSuccessor(now time.Time, id work.TargetID, incarnation int64, since time.Time) (undecided bool) {
 	t := p.targets[id]
 	if t == nil {
@@ -148,7 +149,7 @@
 	switch {
 	case t.reportRequestedAt.After(since):
 		return false
-	case t.unreachable || now.Sub(since) > successorDelay:
+	case t.unreachable && t.reportedIncarnation != 0 || now.Sub(since) > successorDelay:
 		p.HandleRestart(now, id, incarnation)
 		return false
 	default:
