platform: one record that can't be read doesn't stop the following of the log

What operators of similar systems saw: an odd entry of another writer stopped the machines from following the list. Here, a record whose key is longer than the record, an empty record, or an item of a page without a text as key made the whole read an error; the offset stayed, and the watcher repeated the read for good.

If none can be told apart, the watcher reads the newest record of each key instead.

--- a/internal/plog/plog.go
+++ b/internal/plog/plog.go
@@ -24,7 +24,8 @@
 // MemberID identifies a process in a group.
 type MemberID string
 
-// Record is a keyed record; a record without a value removes its key.
+// Record is a keyed record; a record without a value removes its key. One that another writer has stored and that can't be
+// read is the zero Record.
 type Record struct {
 	Key   string
 	Value []byte
@@ -90,6 +91,8 @@
 	ErrInvalid = errors.New("the log rejects the records; a repeat is rejected as well")
 	// ErrNoResponse means that the call may have taken effect, or may still do so.
 	ErrNoResponse = errors.New("the log did not answer; the call may have taken effect")
+	// ErrUnreadable means that a part of the log can't be read, so that a repeat of the call fails as well.
+	ErrUnreadable = errors.New("the log has returned records that can't be told apart")
 	// ErrFenced means that a writer with a higher epoch has taken over the partition.
 	ErrFenced = errors.New("fenced: a writer with a higher epoch has taken over the partition")
 )
--- a/internal/watch/watcher.go
+++ b/internal/watch/watcher.go
@@ -150,6 +150,10 @@
 		w.Logger.Info("the log dropped records before they were read; reading the newest records of all keys", "topic", w.Partition.Topic, "offset", w.offset, "first", trimmed.FirstOffset)
 		w.synced.Store(false)
 		return nil
+	case errors.Is(err, plog.ErrUnreadable):
+		w.Logger.Warn("skipping records that can't be read; reading the newest records of all keys", "topic", w.Partition.Topic, "offset", w.offset, "error", err)
+		w.synced.Store(false)
+		return err
 	case err != nil:
 		return err
 	}
--- a/internal/watch/watcher_test.go
+++ b/internal/watch/watcher_test.go
@@ -94,3 +94,55 @@
 		t.Fatal("the record was not applied")
 	}
 }
+
+// unreadableLog returns an error for reads of the record at the offset bad.
+type unreadableLog struct {
+	fakes.Log
+	bad ident.Offset
+}
+
+func (l *unreadableLog) Read(ctx context.Context, from plog.TopicPartition, offset ident.Offset, wait time.Duration) ([]plog.Record, ident.Offset, error) {
+	records, next, err := l.Log.Read(ctx, from, offset, wait)
+	if offset == l.bad && len(records) > 0 {
+		return nil, offset, plog.ErrUnreadable
+	}
+	return records, next, err
+}
+
+// Guards against a watcher that reads the same unreadable records again and again, and follows nothing any more.
+func TestUnreadableRecordsAreSkipped(t *testing.T) {
+	log, from := &unreadableLog{bad: 1}, plog.TopicPartition{Topic: "x"}
+	put := func(key string) {
+		if err := log.Append(t.Context(), from, plog.Writer{}, []plog.Record{{Key: key, Value: []byte("1")}}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	put("a")
+	got := make(chan string, 100)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	w := &Watcher{
+		Log: log, Partition: from, ApplyWithin: 2 * time.Second, Clock: clock.System(), Logger: hclog.NewNullLogger(),
+		Replace: func(records []plog.Record) {
+			for _, r := range records {
+				got <- r.Key
+			}
+		},
+		Apply: func(r plog.Record) { got <- r.Key },
+	}
+	go w.Run(ctx)
+	w.WaitSynced(ctx)
+	put("unreadable")
+	put("b")
+	deadline := time.After(5 * time.Second)
+	for {
+		select {
+		case k := <-got:
+			if k == "b" {
+				return
+			}
+		case <-deadline:
+			t.Fatal("the record after the unreadable one was not received")
+		}
+	}
+}
