--- a/internal/sizer/sizer.go
+++ b/internal/sizer/sizer.go
@@ -161,12 +161,15 @@
 	return s
 }
 
-// medianCapacity returns the capacity of the VM that is the median by CPU.
+// medianCapacity returns the capacity of the VM that is the median by CPU. Targets that are to be asked and don't answer
+// don't count: their registrations may be those of another writer.
 func medianCapacity(pools []Pool) work.Resources {
 	var capacities []work.Resources
 	for i := range pools {
 		for _, t := range pools[i].Targets {
-			capacities = append(capacities, t.Capacity)
+			if t.Reachable || pools[i].PoweredOff {
+				capacities = append(capacities, t.Capacity)
+			}
 		}
 	}
 	if len(capacities) == 0 {
--- a/internal/sizer/sizer_test.go
+++ b/internal/sizer/sizer_test.go
@@ -155,3 +155,17 @@
 		t.Errorf("%d VMs are moved for an arrival rate of two with headroom and one VM of waiting tasks, want %d", got, want)
 	}
 }
+
+// Guards against registrations of another writer that change how many VMs each pool needs: the median VM had the capacity
+// that they state.
+func TestUnreachableTargetsDoNotSetTheSize(t *testing.T) {
+	busy := pool("busy", 4)
+	busy.Running = work.Resources{CPU: 32000}
+	want := Sizes([]Pool{busy})["busy"]
+	for range 20 {
+		busy.Targets = append(busy.Targets, Target{ID: "odd", VM: "m-odd", Capacity: work.Resources{CPU: 1, Memory: 1}})
+	}
+	if got := Sizes([]Pool{busy})["busy"]; got != want {
+		t.Errorf("size %+v beside targets that don't answer, want %+v", got, want)
+	}
+}
