jobs: a target has five requests to refute the registration of a newer one

Cause, from its logs: an entry of another writer, for a configured pool, named the VM of i-sew-2. The owner's last request to i-sew-2 had failed, and a target that was unreachable counted as ended at once. The half second before that was no protection either for an owner that is paused.

Change: in each case the target is to be asked five times, about every 100 ms, before the registration counts; an answer refutes it for good. The number is one of requests, since a paused process sends none. The soak writes a random odd entry every 0.1 s, and one job in 30 has 150 tasks, so that its state takes several records.

Failed before: TestAnsweringTargetHasNoSuccessor ("unreachable for a moment", "the owner was paused"). Cost: a restart that only its registration shows is known up to 0.5 s later.

--- a/internal/jobs/target.go
+++ b/internal/jobs/target.go
@@ -38,7 +38,8 @@
 	hasUnacked           bool  // it is in Pool.unackedTargets
 	ackedSeq             int64 // the ends up to this one may be acknowledged
 	health               health.Tracker
-	trial                *trial // reserves the target for one task; nil if it is not reserved
+	successor            successor // the newest registration that may show that the target has ended
+	trial                *trial    // reserves the target for one task; nil if it is not reserved
 }
 
 // CordonReason is the reason why a target gets no new tasks.
--- a/internal/jobs/tick.go
+++ b/internal/jobs/tick.go
@@ -130,31 +130,33 @@
 	}
 }
 
-// successorDelay is how long after the registration of a newer target on its VM a target has to answer a request. Targets
-// answer within milliseconds.
-const successorDelay = 500 * time.Millisecond
+// successorChecks is how often a target is asked, about every 100 ms, before the registration of a newer one on its VM counts.
+// It is a number of requests, not a time, since a process that was paused has asked for nothing meanwhile.
+const successorChecks = 5
+
+// successor is the registration of a newer target on a target's VM.
+type successor struct {
+	incarnation int64
+	checks      int // how often the target was to be asked since
+}
 
 // HandleSuccessor handles the registration of a newer target on the VM of a target, which this process first saw at a time.
-// The registration shows that the target has ended, unless it has answered a request since: then another writer has made
-// it. One that has not answered this owner gets successorDelay to do so, since a single response may be lost. If undecided
-// is true, the target should be asked, and the call be repeated.
+// The registration shows that the target has ended, unless it answers a request that is sent later: then another writer has
+// made it. If undecided is true, the target is to be asked, and the call repeated after a while.
 func (p *Pool) HandleSuccessor(now time.Time, id work.TargetID, incarnation int64, since time.Time) (undecided bool) {
 	t := p.targets[id]
-	if t == nil {
+	if t == nil || t.reportRequestedAt.After(since) {
 		return false
 	}
-	if since.Before(p.OwnedSince) {
-		since = p.OwnedSince // it has not been asked before
+	if t.successor.incarnation != incarnation {
+		t.successor = successor{incarnation: incarnation}
 	}
-	switch {
-	case t.reportRequestedAt.After(since):
-		return false
-	case t.unreachable && t.reportedIncarnation != 0 || now.Sub(since) > successorDelay:
-		p.HandleRestart(now, id, incarnation)
-		return false
-	default:
+	if t.successor.checks < successorChecks {
+		t.successor.checks++
 		return true
 	}
+	p.HandleRestart(now, id, incarnation)
+	return false
 }
 
 // VM returns the VM of a target that may still have runs; empty if it is unknown or the target has none.
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -52,6 +52,8 @@
 	handlerTime     = 100 * time.Millisecond // from the first output of a daemon until it handles reloads
 	crashingShare   = 40                     // one job in so many has a task that crashes each target that starts it
 	maxCrashes      = 5                      // of targets by one task
+	largeShare      = 30                     // one job in so many has largeTasks tasks, whose state takes several records
+	largeTasks      = 150
 	jobHost         = "desk.example"
 )
 
@@ -315,7 +317,8 @@
 	end := time.Now().Add(faultPeriod)
 	for n := range 4 {
 		rng := rand.New(rand.NewPCG(seed, uint64(n)))
-		clients.Go(func() { o.submitJobs(rng, n, daemons, end) })
+		sizes := rand.New(rand.NewPCG(seed, 400+uint64(n)))
+		clients.Go(func() { o.submitJobs(rng, sizes, n, daemons, end) })
 	}
 	for n := range 2 { // two concurrent series of faults, each over two of the daemons
 		rng := rand.New(rand.NewPCG(seed, 100+uint64(n)))
@@ -333,6 +336,14 @@
 	}
 	rng := rand.New(rand.NewPCG(seed, 200))
 	faults.Go(func() { changeRoutes(t, rng, fleet, daemons, end) })
+	odd := rand.New(rand.NewPCG(seed, 500))
+	faults.Go(func() {
+		for time.Now().Before(end) {
+			entries := local.OddEntries(string(rune('a'+odd.IntN(26)))+"-", fleet.Targets[odd.IntN(len(fleet.Targets))])
+			fleet.Store.PutRecords(ctx, "servers", entries[odd.IntN(len(entries))])
+			time.Sleep(time.Duration(odd.IntN(200)) * time.Millisecond)
+		}
+	})
 	overlapping := rand.New(rand.NewPCG(seed, 300))
 	faults.Go(func() {
 		for time.Now().Before(end) {
@@ -350,10 +361,13 @@
 
 // submitJobs submits jobs until end, as client n. Like a client of the service, it submits a job again under the same ID
 // until the job is accepted, up to six times.
-func (o *outcomes) submitJobs(rng *rand.Rand, n int, daemons []*daemonProcess, end time.Time) {
+func (o *outcomes) submitJobs(rng, sizes *rand.Rand, n int, daemons []*daemonProcess, end time.Time) {
 	for i := 0; time.Now().Before(end); i++ {
 		path := fmt.Sprintf("/%s/%08x%08x", []string{"cut", "sew"}[rng.IntN(2)], n+1, i)
 		body := local.TwoSteps(fmt.Sprint(100+rng.IntN(900)), 300, 3, 2)
+		if sizes.IntN(largeShare) == 0 {
+			body = local.TwoSteps(fmt.Sprint(100+sizes.IntN(400)), 300, largeTasks, 2)
+		}
 		if rng.IntN(crashingShare) == 0 {
 			body = local.TwoSteps("crashes", 300, 1, 1)
 			o.mu.Lock()
