jobs: segments fit the log's limit, whatever it is; files by concern

An installation whose log takes less than 128 KiB in a record would not have started. The number of tasks in a segment now follows from the limit (half of a record in any state, 64 at most), and is part of the stored record; the settings demand 16 KiB. Writes and stored records have files of their own (moved only).

--- a/internal/jobd/settings.go
+++ b/internal/jobd/settings.go
@@ -140,7 +140,7 @@
 		addError("log.parts = %d is not positive", s.Log.Partitions)
 	}
 	if s.Log.MaxRecord < jobs.MinRecord {
-		addError("log.max_record = %d is less than %d, with which not every job could be stored", s.Log.MaxRecord, jobs.MinRecord)
+		addError("log.max_record = %d is less than %d, which jobs need", s.Log.MaxRecord, jobs.MinRecord)
 	}
 	if s.Log.MaxAppend < s.Log.MaxRecord+maxFraming {
 		addError("log.max_append = %d is not more than log.max_record = %d by %d or more", s.Log.MaxAppend, s.Log.MaxRecord, maxFraming)
@@ -179,6 +179,6 @@
 func (s *Settings) bounds() jobs.Bounds {
 	b := &s.Bounds
 	return jobs.Bounds{
-		StopTimeout: b.StopTimeout.Duration, RemoteCost: b.RemoteCost, Retention: b.Retention.Duration,
+		StopTimeout: b.StopTimeout.Duration, RemoteCost: b.RemoteCost, Retention: b.Retention.Duration, MaxRecord: s.Log.MaxRecord,
 	}
 }
--- a/internal/jobs/doc.go
+++ b/internal/jobs/doc.go
@@ -20,5 +20,7 @@
 //   - A task has at most one run that is not known to have ended.
 //   - A run holds resources of its target from the time it is planned until it
 //     is known to have ended.
+//   - Every state that an accepted job can reach fits the records of the log, and
+//     each record is valid also if those after it in its write are not stored.
 //   - The end of a run is acknowledged to its target only after it is durable.
 package jobs
--- a/internal/jobs/event.go
+++ b/internal/jobs/event.go
@@ -24,6 +24,7 @@
 	EventRejected          EventKind = "rejected"           // a target rejected a start command
 	EventStartUnanswered   EventKind = "unsure"             // a start command got no response
 	EventSuspect           EventKind = "suspect"            // a run makes too little progress and is stopped
+	EventSuccessor         EventKind = "successor"          // a newer target is registered on the VM of a target, which is asked whether it has ended
 	EventCheckpointIgnored EventKind = "checkpoint_ignored" // a checkpoint is too long to be stored
 	EventCrash             EventKind = "crash"              // a target has crashed shortly after it had started a task
 )
--- a/internal/jobs/job.go
+++ b/internal/jobs/job.go
@@ -264,7 +264,7 @@
 // has expired.
 func restoreJob(p *Pool, now time.Time, r *Record, segments []*SegmentRecord) *job {
 	spec := r.Spec
-	j := newJob(r.ID, r.Queue.ID, &spec, r.Accepted, cmp.Or(r.SegmentTasks, p.segmentTasks))
+	j := newJob(r.ID, r.Queue.ID, &spec, r.Accepted, cmp.Or(r.SegmentTasks, p.tasksPerSegment()))
 	j.canceled, j.failed, j.finishedAt = r.Canceled, r.Failed, r.Finished
 	j.restoreDone(r, segments)
 	if j.segments != nil && r.SegmentTasks == 0 { // stored before jobs had segments
--- a/internal/jobs/pool.go
+++ b/internal/jobs/pool.go
@@ -12,10 +12,6 @@
 	"github.com/toucanhatch/toucanhatch/pkg/ident"
 )
 
-// WriteSeq is the sequence number of a write of changed records to the store. A
-// change is durable once its write, or a later one, has been confirmed.
-type WriteSeq uint64
-
 // Pool is the state machine of one pool. It is not safe for concurrent use.
 // Set its exported fields before the first event.
 type Pool struct {
@@ -37,7 +33,7 @@
 	targets        map[work.TargetID]*target
 	sorted         []*target           // cache of sortedTargets; nil after a change
 	dirty          map[work.JobID]*job // changed since the last write
-	segmentTasks   int                 // tasks in a segment of a large job
+	segmentTasks   int                 // tasks in a segment of a large job; 0 follows from Bounds.MaxRecord
 	nextWrite      WriteSeq            // number of the next write
 	durable        WriteSeq            // last confirmed write
 	commands       []Command
@@ -61,17 +57,20 @@
 	InheritedLease time.Duration // time from a takeover until all leases given by the previous owner have expired
 	MaxLease       time.Duration // longest lease that the owner gives
 	Retention      time.Duration // how long a finished job remains visible
+	MaxRecord      ident.Bytes   // limit of the log on the size of a record, at least [MinRecord]; 0 if there is none
 }
 
 // NewPool returns an empty pool.
 func NewPool(id ident.PoolID) *Pool {
 	return &Pool{
-		ID: id, nextWrite: 1, segmentTasks: segmentTasks,
+		ID: id, nextWrite: 1,
 		queues: map[work.QueueID]work.Queue{}, jobs: map[work.JobID]*job{}, targets: map[work.TargetID]*target{},
 		dirty: map[work.JobID]*job{}, ratios: map[work.QueueID]*timeRatio{}, advice: map[stepKey]*stepAdvice{},
 	}
 }
 
+func (p *Pool) tasksPerSegment() int { return cmp.Or(p.segmentTasks, segmentTasks(p.Bounds.MaxRecord)) }
+
 // SetWallOffset sets the difference between the wall clock and the times that
 // are passed to the pool. Scheduled occurrences become due by the wall clock.
 func (p *Pool) SetWallOffset(d time.Duration) { p.wallOffset = d }
@@ -112,7 +111,7 @@
 		p.emit(Event{Kind: EventRefused, Job: id, Queue: queue.ID, Detail: decision.Reason, Delay: decision.RetryAfter})
 		return SubmitResult{Refused: true, RetryAfter: decision.RetryAfter}
 	}
-	j := newJob(id, queue.ID, spec, p.wallTime(first), p.segmentTasks)
+	j := newJob(id, queue.ID, spec, p.wallTime(first), p.tasksPerSegment())
 	p.addJob(now, j)
 	j.firstWrite = p.nextWrite
 	p.markDirty(j)
@@ -218,87 +217,6 @@
 	p.replan = true
 }
 
-// NextWrite returns the number of the next write.
-func (p *Pool) NextWrite() WriteSeq { return p.nextWrite }
-
-// BeginWrite returns what has changed since the last call, and the
-// number of the write that makes all changes so far durable.
-func (p *Pool) BeginWrite() ([]Change, WriteSeq) {
-	if len(p.dirty) == 0 {
-		return nil, p.nextWrite
-	}
-	changes := make([]Change, 0, len(p.dirty))
-	for _, id := range slices.Sorted(maps.Keys(p.dirty)) {
-		j := p.dirty[id]
-		changes = append(changes, j.takeChange(p.ID, p.queues[j.queue]))
-	}
-	clear(p.dirty)
-	n := p.nextWrite
-	p.nextWrite++
-	return changes, n
-}
-
-// RetryWrite marks the changes of a failed write for the next one.
-func (p *Pool) RetryWrite(changes []Change) {
-	for i := range changes {
-		c := &changes[i]
-		j := p.jobs[c.Job]
-		if j == nil || j.stripped {
-			continue
-		}
-		p.noteChange(j)
-		j.recordChanged = j.recordChanged || c.Record != nil
-		for _, s := range c.Segments {
-			j.segments.changed[s.First] = true
-		}
-	}
-}
-
-// RejectChange handles that the log refuses to store a record of a job, whatever its state. A job of which nothing is stored
-// is withdrawn. Another one fails, so that the rest of the pool can go on, and is stored without the state of its tasks.
-func (p *Pool) RejectChange(now time.Time, c Change, recordRejected bool) (withdrawn bool) {
-	j := p.jobs[c.Job]
-	switch {
-	case j == nil:
-		return false
-	case recordRejected && j.firstWrite > p.durable:
-		p.Withdraw(now, j.id)
-		return true
-	case j.withoutTasks:
-		p.emit(Event{Kind: EventFailed, Job: j.id, Queue: j.queue, Detail: "the log rejects the job's record; it is stored no more"})
-		return false
-	}
-	j.withoutTasks = true
-	if j.finished() {
-		p.markDirty(j)
-		return false
-	}
-	j.failed = true
-	p.finish(now, j)
-	p.emit(Event{Kind: EventFailed, Job: j.id, Queue: j.queue, Detail: "the log rejects the state of the job's tasks"})
-	return false
-}
-
-// MarkDurable handles the confirmation that all writes up to write are durable. It releases the start commands and
-// acknowledgments that waited for these writes.
-func (p *Pool) MarkDurable(now time.Time, write WriteSeq) {
-	p.durable = max(p.durable, write)
-	kept := p.awaitingWrite[:0]
-	for _, r := range p.awaitingWrite {
-		switch {
-		case r.state != runPlanned:
-		case r.write <= write && !r.target.acceptsPlanned():
-			p.withdrawPlanned(now, r)
-		case r.write <= write:
-			p.sendStart(now, r)
-		default:
-			kept = append(kept, r)
-		}
-	}
-	p.awaitingWrite = kept
-	p.releaseAcks()
-}
-
 // TakeCommands returns the commands to send and removes them from the pool.
 func (p *Pool) TakeCommands() []Command {
 	commands := p.commands
@@ -341,32 +259,6 @@
 	}
 }
 
-// markDirty marks a job's record as changed. A stripped job is not stored again, since its stored records are still
-// complete.
-func (p *Pool) markDirty(j *job) {
-	if j.stripped {
-		return
-	}
-	p.noteChange(j)
-	j.recordChanged = true
-}
-
-// markTaskDirty marks the record that holds the state of a task as changed.
-func (p *Pool) markTaskDirty(j *job, id work.TaskID) {
-	if j.segments == nil || j.stripped {
-		p.markDirty(j)
-		return
-	}
-	p.noteChange(j)
-	j.segments.markChanged(id)
-}
-
-// noteChange makes the next write store what is marked as changed of a job.
-func (p *Pool) noteChange(j *job) {
-	j.lastWrite = p.nextWrite
-	p.dirty[j.id] = j
-}
-
 // removeActive removes a finished or withdrawn job from the active jobs.
 func (p *Pool) removeActive(j *job) {
 	for i, x := range p.active {
--- a/internal/jobs/segment.go
+++ b/internal/jobs/segment.go
@@ -3,8 +3,6 @@
 import (
 	"maps"
 	"slices"
-	"strconv"
-	"strings"
 
 	"github.com/toucanhatch/toucanhatch/internal/blame"
 	"github.com/toucanhatch/toucanhatch/internal/work"
@@ -12,8 +10,8 @@
 )
 
 const (
-	// segmentTasks is the number of tasks in one segment. The tasks of a job that has no more are stored in its [Record].
-	segmentTasks = 64
+	// maxSegmentTasks is the largest number of tasks in one segment: a larger one would be written too often as a whole.
+	maxSegmentTasks = 64
 	// maxTaskBytes is the largest encoding of one [TaskRecord] and one [CrashRecord] together.
 	maxTaskBytes = 1700
 	// maxCheckpoint is the longest checkpoint that is used, in bytes.
@@ -22,8 +20,17 @@
 	recordMargin = 4 << 10
 )
 
-// MinRecord is the smallest limit on the size of a record with which every state of an accepted job can be stored.
-const MinRecord ident.Bytes = 128 << 10
+// MinRecord is the smallest limit on the size of a record with which jobs can be stored.
+const MinRecord ident.Bytes = 16 << 10
+
+// segmentTasks returns the number of tasks in one segment: as many as take half of a record in any state. The tasks of a job
+// that has no more are stored in its [Record], in whose other half the specification goes.
+func segmentTasks(maxRecord ident.Bytes) int {
+	if maxRecord == 0 {
+		return maxSegmentTasks
+	}
+	return max(1, min(maxSegmentTasks, int(maxRecord-recordMargin)/2/maxTaskBytes))
+}
 
 // SegmentRecord is the stored state of consecutive tasks of a large job. The tasks of a job are numbered by occurrence, then
 // by step, then by index. A newer record under the same key replaces the earlier ones.
@@ -48,109 +55,6 @@
 	return s, decodeMode.Unmarshal(b, s)
 }
 
-// Entry is an encoded record and the key under which it is stored.
-type Entry struct {
-	Key   string
-	Value []byte
-}
-
-// keySeparator separates the job and the number of the first task in the key of a [SegmentRecord]. It sorts before all
-// characters of job ids, so that a store ordered by key lists the segments of a job right after its [Record].
-const keySeparator = "/"
-
-// recordKey returns the key of a job's [Record].
-func recordKey(job work.JobID) string { return string(job) }
-
-func segmentKey(job work.JobID, first int) string {
-	return string(job) + keySeparator + strconv.Itoa(first)
-}
-
-// StoredJob holds the records of one job.
-type StoredJob struct {
-	Record   *Record // nil if the store has none that can be decoded
-	Segments []*SegmentRecord
-}
-
-// Stored holds the records that have been read from the store, by job.
-type Stored map[work.JobID]*StoredJob
-
-// Add decodes an entry and adds it. An error leaves the entries added before as they are.
-func (s Stored) Add(e Entry) error {
-	id, _, segment := strings.Cut(e.Key, keySeparator)
-	j := s[work.JobID(id)]
-	if j == nil {
-		j = &StoredJob{}
-		s[work.JobID(id)] = j
-	}
-	if segment {
-		r, err := DecodeSegment(e.Value)
-		if err == nil {
-			j.Segments = append(j.Segments, r)
-		}
-		return err
-	}
-	r, err := DecodeRecord(e.Value)
-	if err == nil {
-		j.Record = r
-	}
-	return err
-}
-
-// Change is what one write stores of one job.
-type Change struct {
-	Job      work.JobID
-	Record   *Record          // nil if it is unchanged
-	Segments []*SegmentRecord // the changed ones, in order
-}
-
-// Entries returns the encoded records in the order in which they must become durable: segments without a [Record] belong to
-// no job.
-func (c *Change) Entries() ([]Entry, error) {
-	var out []Entry
-	if c.Record != nil {
-		value, err := c.Record.Encode()
-		if err != nil {
-			return nil, err
-		}
-		out = append(out, Entry{recordKey(c.Job), value})
-	}
-	for _, s := range c.Segments {
-		value, err := s.Encode()
-		if err != nil {
-			return nil, err
-		}
-		out = append(out, Entry{s.Key(), value})
-	}
-	return out, nil
-}
-
-// Rejected returns which of the records with the given keys are part of the change.
-func (c *Change) Rejected(keys map[string]bool) (record, segments bool) {
-	record = c.Record != nil && keys[recordKey(c.Job)]
-	for _, s := range c.Segments {
-		segments = segments || keys[s.Key()]
-	}
-	return record, segments
-}
-
-// CheckStorable returns a [*work.SpecError] if a record of the job could exceed the log's limit in a state that the job can
-// reach. The limit must be at least [MinRecord].
-func CheckStorable(id work.JobID, queue work.Queue, spec *work.Spec, maxRecord ident.Bytes) error {
-	r := Record{ID: id, Queue: queue, Pool: queue.Pool, Spec: *spec}
-	b, err := r.Encode()
-	if err != nil {
-		return &work.SpecError{Reason: err.Error()}
-	}
-	size := len(b) + recordMargin
-	if tasks := spec.Tasks(); tasks <= segmentTasks {
-		size += tasks * maxTaskBytes
-	}
-	if ident.Bytes(size) > maxRecord {
-		return &work.SpecError{Reason: "the specification takes " + strconv.Itoa(len(b)) + " bytes in the log, " + strconv.Itoa(size-int(maxRecord)) + " too many"}
-	}
-	return nil
-}
-
 // segmentation divides the tasks of a large job into segments of the same size, which are stored one by one.
 type segmentation struct {
 	size          int          // tasks in a segment
@@ -260,15 +164,3 @@
 		}
 	}
 }
-
-// keys returns the keys of all records of a job that may be in the store, its [Record] first: without it, segments that
-// remain belong to no job.
-func (j *job) keys() []string {
-	out := []string{recordKey(j.id)}
-	if j.segments != nil {
-		for _, first := range slices.Sorted(maps.Keys(j.segments.stored)) {
-			out = append(out, segmentKey(j.id, first))
-		}
-	}
-	return out
-}
--- a/internal/jobs/tick.go
+++ b/internal/jobs/tick.go
@@ -150,11 +150,14 @@
 	}
 	if t.successor.incarnation != incarnation {
 		t.successor = successor{incarnation: incarnation}
+		p.emit(Event{Kind: EventSuccessor, Target: id, Detail: fmt.Sprintf("incarnation %d is registered on its VM; asking the target", incarnation)})
 	}
-	if t.successor.checks < successorChecks {
-		t.successor.checks++
+	if t.successor.checks++; t.successor.checks <= successorChecks {
 		return true
 	}
+	if t.successor.checks == successorChecks+1 {
+		p.emit(Event{Kind: EventSuccessor, Target: id, Detail: fmt.Sprintf("no answer since incarnation %d is registered on its VM", incarnation)})
+	}
 	p.HandleRestart(now, id, incarnation)
 	return false
 }
