--- a/internal/shard/shard_test.go
+++ b/internal/shard/shard_test.go
@@ -289,3 +289,23 @@
 		t.Errorf("the next owner: known %v, error %v, want the stored job", known, err)
 	}
 }
+
+// Guards against events that share a round and are handled with the time of the first one: an answered start seemed to be
+// older than a run report that was requested before it, and that doesn't name the run; the task then ran twice.
+func TestEventsOfARoundHaveTheirOwnTime(t *testing.T) {
+	s := startShard(t, &fakes.Log{}, 1)
+	begun, release := make(chan struct{}), make(chan struct{})
+	s.post(func(time.Time) {
+		close(begun)
+		<-release
+	})
+	<-begun
+	handled := make(chan time.Time, 1)
+	time.Sleep(20 * time.Millisecond)
+	posted := time.Now()
+	s.post(func(now time.Time) { handled <- now })
+	close(release)
+	if got := <-handled; got.Before(posted) {
+		t.Errorf("an event is handled as of %v before it was posted", posted.Sub(got))
+	}
+}
