--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -240,8 +240,8 @@
 		case f := <-s.mailbox:
 			now := s.Clock.Now()
 			f(now)
-			s.drainMailbox()
-			s.afterEvents(s.Clock.Now())
+			s.drainMailbox(now)
+			s.afterEvents(now)
 			if s.closing && s.inFlight == nil {
 				s.stop()
 			}
@@ -249,14 +249,12 @@
 	}
 }
 
-// drainMailbox handles the events that are in the mailbox already, so that they share a round. Each has a time of its own: a
-// command that is known to be answered at a time before its target executed it would make a run report conclusive that was
-// requested in between.
-func (s *Shard) drainMailbox() {
+// drainMailbox handles the events that are in the mailbox already, so that they share a round.
+func (s *Shard) drainMailbox(now time.Time) {
 	for range mailboxSize {
 		select {
 		case f := <-s.mailbox:
-			f(s.Clock.Now())
+			f(now)
 		default:
 			return
 		}
