lookup: less work for each registration

Read again: each registration that is read made a logger with its key, which only a panic would use (the line about an unusable registration names the key as well), and each look at a VM's newest target looked the VM up once for each configured pool. Both are on the owner's path: thousands of registrations a second at the size to design for. reject_test.go had a counter that nothing read. Behaviour as it was.

--- a/internal/lookup/directory.go
+++ b/internal/lookup/directory.go
@@ -108,7 +108,7 @@
 func (d *Directory) decode(r plog.Record) (work.Registration, error) {
 	var reg work.Registration
 	var err error
-	if !panics.Catch(d.Logger.With("key", r.Key), "registration", func() { reg, err = d.Decode(r.Key, r.Value) }) {
+	if !panics.Catch(d.Logger, "registration", func() { reg, err = d.Decode(r.Key, r.Value) }) {
 		return reg, errors.New("the registration can't be decoded")
 	}
 	if latest := d.Clock.Now().Add(maxIncarnationLead).UnixMilli(); err == nil && reg.Incarnation > latest {
@@ -143,9 +143,10 @@
 	pools := d.Pools()
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	byPool := d.newest[vm]
 	var newest NewestTarget
 	for _, p := range pools {
-		if n, known := d.newest[vm][p.ID]; known && (newest.ID == "" || n.Incarnation > newest.Incarnation) {
+		if n, known := byPool[p.ID]; known && (newest.ID == "" || n.Incarnation > newest.Incarnation) {
 			newest = n
 		}
 	}
--- a/internal/shard/reject_test.go
+++ b/internal/shard/reject_test.go
@@ -20,7 +20,6 @@
 type limitedLog struct {
 	*fakes.Log
 	maxRecord, maxAppend ident.Bytes
-	rejected             atomic.Int32
 }
 
 func (l *limitedLog) Append(ctx context.Context, to plog.TopicPartition, w plog.Writer, records []plog.Record) error {
@@ -32,7 +31,6 @@
 		}
 	}
 	if size > l.maxAppend {
-		l.rejected.Add(1)
 		return plog.ErrInvalid
 	}
 	return l.Log.Append(ctx, to, w, records)
