--- a/internal/fakes/log.go
+++ b/internal/fakes/log.go
@@ -136,9 +136,9 @@
 }
 
 // Read implements plog.Log.
-func (l *Log) Read(ctx context.Context, from plog.TopicPartition, offset ident.Offset, wait time.Duration) ([]plog.Record, ident.Offset, error) {
+func (l *Log) Read(ctx context.Context, from plog.TopicPartition, offset ident.Offset, wait time.Duration) (plog.Batch, error) {
 	if apply, err := l.runHook("read", from); !apply || err != nil {
-		return nil, offset, err
+		return plog.Batch{}, err
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
@@ -146,16 +146,16 @@
 		l.mu.Lock()
 		p := l.partition(from)
 		if int(offset) < len(p.records) {
-			out := slices.Clone(p.records[offset:])
+			b := plog.Batch{Records: slices.Clone(p.records[offset:]), Next: ident.Offset(len(p.records)), End: ident.Offset(len(p.records))}
 			l.mu.Unlock()
-			return out, offset + ident.Offset(len(out)), nil
+			return b, nil
 		}
 		changed := p.changed
 		l.mu.Unlock()
 		select {
 		case <-changed:
 		case <-ctx.Done():
-			return nil, offset, nil
+			return plog.Batch{Next: offset, End: offset}, nil
 		}
 	}
 }
--- a/internal/jobd/configuration.go
+++ b/internal/jobd/configuration.go
@@ -29,8 +29,9 @@
 	Clock      clock.Clock
 	Logger     hclog.Logger
 
-	current atomic.Pointer[appliedConfig] // nil until a configuration has been read
-	watcher *watch.Watcher
+	current  atomic.Pointer[appliedConfig] // nil until a configuration has been read
+	watcher  *watch.Watcher
+	outdated atomic.Bool // as last logged
 
 	mu              sync.Mutex // held while a configuration replaces another
 	peerConfirmedAt time.Time  // by the clock of this daemon, the latest time as of which a peer knew that it had the newest configuration
@@ -42,6 +43,14 @@
 	encoded []byte // as published by the operators
 }
 
+// configSource is where a configuration was read.
+type configSource string
+
+const (
+	sourceLog  configSource = "log"
+	sourcePeer configSource = "peer"
+)
+
 // configQuery asks another daemon for a newer configuration than that of a version.
 type configQuery struct {
 	Version int64 `cbor:"1,keyasint"`
@@ -77,6 +86,7 @@
 // for the configuration.
 func (c *configuration) Run(ctx context.Context) {
 	queries := c.Clock.Every(c.ApplyWithin/configQueriesWithinTarget, func() {
+		c.reportAge()
 		if c.Age() > c.ApplyWithin/2 {
 			panics.Catch(c.Logger, "configuration of peers", func() { c.askPeers(ctx) })
 		}
@@ -112,6 +122,19 @@
 	return c.Clock.Now().Sub(confirmed)
 }
 
+// reportAge publishes the version and its age, and logs when the age passes the time in which changes must be in force.
+func (c *configuration) reportAge() {
+	if c.Table() == nil {
+		return
+	}
+	version, age := c.version(), c.Age()
+	configVersion.Set(version)
+	configAge.Set(age.Milliseconds())
+	if outdated := age > c.ApplyWithin; outdated != c.outdated.Swap(outdated) {
+		c.Logger.Warn("whether the configuration is known to be the newest has changed", "outdated", outdated, "version", version, "unconfirmed", age)
+	}
+}
+
 // reply answers the query of another daemon.
 func (c *configuration) reply(q configQuery) configReply {
 	age := c.Age() // before the version is read, which may then be newer than the age says, but not older
@@ -140,7 +163,7 @@
 			}
 			if len(r.Encoded) > 0 {
 				c.Logger.Info("a peer has a newer configuration", "peer", addr, "version", r.Version, "unconfirmed", r.Age)
-				c.applyConfig(r.Encoded)
+				c.applyConfig(r.Encoded, sourcePeer)
 			}
 			if c.version() >= r.Version {
 				c.confirm(sent.Add(-r.Age))
@@ -171,15 +194,15 @@
 		}
 		c.SetWave(w)
 	case r.Key == c.Platform.ConfigKey:
-		c.applyConfig(r.Value)
+		c.applyConfig(r.Value, sourceLog)
 	}
 }
 
 // applyConfig puts an encoded configuration in force, unless a newer one is.
-func (c *configuration) applyConfig(value []byte) {
+func (c *configuration) applyConfig(value []byte, from configSource) {
 	config, err := c.Platform.DecodeConfig(value)
 	if err != nil {
-		c.Logger.Error("cannot decode the configuration; the previous one stays in use", "error", err)
+		c.Logger.Error("cannot decode the configuration; the previous one stays in use", "version", c.version(), "source", from, "error", err)
 		return
 	}
 	var unconfirmed time.Duration
@@ -192,5 +215,5 @@
 		return
 	}
 	c.current.Store(&appliedConfig{table: route.New(config), encoded: value})
-	c.Logger.Info("configuration applied", "version", config.Version, "routes", len(config.Routes), "pools", len(config.Pools), "unconfirmed", unconfirmed)
+	c.Logger.Info("configuration applied", "version", config.Version, "routes", len(config.Routes), "pools", len(config.Pools), "source", from, "unconfirmed", unconfirmed)
 }
--- a/internal/jobd/metrics.go
+++ b/internal/jobd/metrics.go
@@ -20,6 +20,8 @@
 	logCalls          = expvar.NewMap("log_calls")    // by call and outcome
 	jobsInTime        = expvar.NewMap("jobs_in_time") // by queue
 	jobsLate          = expvar.NewMap("jobs_late")    // by queue
+	configVersion     = expvar.NewInt("config_version")
+	configAge         = expvar.NewInt("config_unconfirmed_ms") // since the configuration was known to be the newest
 	requestLatencies  hist.Set[link.Method]
 	logLatencies      hist.Set[string]
 	writeLatencies    hist.Set[string]
--- a/internal/jobd/service.go
+++ b/internal/jobd/service.go
@@ -289,8 +289,9 @@
 	q, rest, ok := t.Find(host, path)
 	if !ok {
 		age := s.Config.Age()
-		s.Logger.Info("no queue matches the request", "host", host, "path", path, "version", t.Version, "unconfirmed", age)
-		if age > s.Config.ApplyWithin { // a newer configuration may have the queue
+		denied := age <= s.Config.ApplyWithin // otherwise a newer configuration may have the queue
+		s.Logger.Info("no queue matches the request", "host", host, "path", path, "version", t.Version, "unconfirmed", age, "in_force", s.Config.version(), "denied", denied)
+		if !denied {
 			return work.Queue{}, "", &NotRunError{RetryAfter: admit.RetryElsewhere}
 		}
 		return work.Queue{}, "", ErrNoQueue
--- a/internal/plog/plog.go
+++ b/internal/plog/plog.go
@@ -55,6 +55,16 @@
 	End     ident.Offset // end of the partition when the page was read
 }
 
+// Batch is the result of a read: consecutive records of a partition.
+type Batch struct {
+	Records []Record
+	Next    ident.Offset // of the record after the last one
+	End     ident.Offset // of the partition when it was read
+}
+
+// Complete reports whether the batch reaches the end of the partition. The log limits the size of a batch.
+func (b *Batch) Complete() bool { return b.Next >= b.End }
+
 // Assignment lists the partitions that a group has assigned to one member.
 type Assignment struct {
 	Generation Generation
@@ -119,9 +129,9 @@
 	Append(ctx context.Context, to TopicPartition, w Writer, records []Record) error
 	// Newest returns a page of the newest records of all keys, in the order of the keys, that follow the key after.
 	Newest(ctx context.Context, from TopicPartition, after string) (Page, error)
-	// Read returns the records from an offset on, and the offset for the next read. If there are none, it waits for the
-	// first one up to wait.
-	Read(ctx context.Context, from TopicPartition, offset ident.Offset, wait time.Duration) ([]Record, ident.Offset, error)
+	// Read returns records from an offset on, possibly not all of them. If there are none, it waits for the first one up to
+	// wait.
+	Read(ctx context.Context, from TopicPartition, offset ident.Offset, wait time.Duration) (Batch, error)
 	// Join joins a group or renews the membership.
 	Join(ctx context.Context, m Membership) (Assignment, error)
 	// Leave leaves a group, which assigns the member's partitions to other members at once.
--- a/internal/watch/watcher.go
+++ b/internal/watch/watcher.go
@@ -116,10 +116,9 @@
 
 // batch is the result of one read.
 type batch struct {
-	sent    time.Time
-	records []plog.Record
-	next    ident.Offset
-	newest  bool // the records are the newest of all keys, rather than those appended since the last read
+	plog.Batch
+	sent   time.Time
+	newest bool // the records are the newest of all keys, rather than those appended since the last read
 }
 
 // readOnce reads the newest records if the watcher is not synced, and otherwise the records appended since the last read.
@@ -171,13 +170,16 @@
 
 func (w *Watcher) process(b batch) {
 	if b.newest {
-		w.Replace(b.records)
+		w.Replace(b.Records)
 	} else {
-		for _, r := range b.records {
+		for _, r := range b.Records {
 			panics.Catch(w.Logger.With("key", r.Key), "record of "+string(w.Partition.Topic), func() { w.Apply(r) })
 		}
 	}
-	w.offset = b.next
+	w.offset = b.Next
+	if !b.Complete() {
+		w.Logger.Info("a read has returned a part of the records", "topic", w.Partition.Topic, "next", b.Next, "end", b.End)
+	}
 	w.confirmedAt.Store(b.sent.UnixNano())
 	w.synced.Store(true)
 }
@@ -188,7 +190,7 @@
 	defer cancel()
 	b := batch{sent: w.Clock.Now()}
 	var err error
-	b.records, b.next, err = w.Log.Read(ctx, w.Partition, offset, wait)
+	b.Batch, err = w.Log.Read(ctx, w.Partition, offset, wait)
 	return b, err
 }
 
@@ -204,9 +206,9 @@
 			return batch{}, err
 		}
 		if first {
-			b.next = page.End
+			b.Next, b.End = page.End, page.End
 		}
-		b.records = append(b.records, page.Records...)
+		b.Records = append(b.Records, page.Records...)
 		if !page.More || len(page.Records) == 0 {
 			return b, nil
 		}
--- a/internal/watch/watcher_test.go
+++ b/internal/watch/watcher_test.go
@@ -53,11 +53,11 @@
 	silence, silent atomic.Bool
 }
 
-func (l *silentConnectionLog) Read(ctx context.Context, from plog.TopicPartition, offset ident.Offset, wait time.Duration) ([]plog.Record, ident.Offset, error) {
+func (l *silentConnectionLog) Read(ctx context.Context, from plog.TopicPartition, offset ident.Offset, wait time.Duration) (plog.Batch, error) {
 	if l.silence.Swap(false) {
 		l.silent.Store(true)
 		<-ctx.Done()
-		return nil, offset, plog.ErrNoResponse
+		return plog.Batch{}, plog.ErrNoResponse
 	}
 	return l.Log.Read(ctx, from, offset, wait)
 }
@@ -101,12 +101,12 @@
 	bad ident.Offset
 }
 
-func (l *unreadableLog) Read(ctx context.Context, from plog.TopicPartition, offset ident.Offset, wait time.Duration) ([]plog.Record, ident.Offset, error) {
-	records, next, err := l.Log.Read(ctx, from, offset, wait)
-	if offset == l.bad && len(records) > 0 {
-		return nil, offset, plog.ErrUnreadable
+func (l *unreadableLog) Read(ctx context.Context, from plog.TopicPartition, offset ident.Offset, wait time.Duration) (plog.Batch, error) {
+	b, err := l.Log.Read(ctx, from, offset, wait)
+	if offset == l.bad && len(b.Records) > 0 {
+		return plog.Batch{}, plog.ErrUnreadable
 	}
-	return records, next, err
+	return b, err
 }
 
 // Guards against a watcher that reads the same unreadable records again and again, and follows nothing any more.
