jobd: the age of a configuration belongs to its table

What callers saw: 404 for a queue that had been added more than 2 s before, from an entry that learned of the version in the same moment.

Cause: an entry took the routing table and afterwards the age of the configuration, which waits for a lock that is held while a table is replaced. A version that was applied and confirmed between the two gave the old table the age of the new one, and the queue was denied for good instead of 'come back'.

The reader of the log and the answers of peers confirm it through the same method.

The same pair in the reply to peers was in the right order already.

--- a/internal/jobd/configuration.go
+++ b/internal/jobd/configuration.go
@@ -29,18 +29,18 @@
 	Clock      clock.Clock
 	Logger     hclog.Logger
 
-	current  atomic.Pointer[appliedConfig] // nil until a configuration has been read
+	current  atomic.Pointer[configSnapshot] // nil until a configuration has been read
 	watcher  *watch.Watcher
 	outdated atomic.Bool // as last logged
-
-	mu              sync.Mutex // held while a configuration replaces another
-	peerConfirmedAt time.Time  // by the clock of this daemon, the latest time as of which a peer knew that it had the newest configuration
+	mu       sync.Mutex  // held while a snapshot replaces another
 }
 
-// appliedConfig is a configuration in force.
-type appliedConfig struct {
-	table   *route.Table
-	encoded []byte // as published by the operators
+// configSnapshot is the configuration in force at a moment. It is immutable, so that a decision by its table is not made
+// with the age of another one.
+type configSnapshot struct {
+	table       *route.Table
+	encoded     []byte    // as published by the operators
+	confirmedAt time.Time // by the clock of this daemon, the latest time as of which no newer version existed; zero if unknown
 }
 
 // configSource is where a configuration was read.
@@ -78,7 +78,7 @@
 				c.apply(r)
 			}
 		},
-		Apply: c.apply,
+		Apply: c.apply, Confirm: c.confirm,
 	}
 }
 
@@ -95,6 +95,9 @@
 	c.watcher.Run(ctx)
 }
 
+// Current returns the configuration in force; nil if none has been read.
+func (c *configuration) Current() *configSnapshot { return c.current.Load() }
+
 // Table returns the routes and pools of the configuration that is in force; nil if none has been read.
 func (c *configuration) Table() *route.Table {
 	if current := c.current.Load(); current != nil {
@@ -111,15 +114,15 @@
 	return 0
 }
 
-// Age returns the time since the configuration was known to be the newest.
-func (c *configuration) Age() time.Duration {
-	c.mu.Lock()
-	confirmed := c.peerConfirmedAt
-	c.mu.Unlock()
-	if at := c.watcher.ConfirmedAt(); at.After(confirmed) {
-		confirmed = at
+// Age returns the time since the configuration in force was known to be the newest.
+func (c *configuration) Age() time.Duration { return c.ageOf(c.Current()) }
+
+// ageOf returns the time since a configuration was known to be the newest.
+func (c *configuration) ageOf(s *configSnapshot) time.Duration {
+	if s == nil {
+		s = &configSnapshot{}
 	}
-	return c.Clock.Now().Sub(confirmed)
+	return c.Clock.Now().Sub(s.confirmedAt)
 }
 
 // reportAge publishes the version and its age, and logs when the age passes the time in which changes must be in force.
@@ -137,12 +140,11 @@
 
 // reply answers the query of another daemon.
 func (c *configuration) reply(q configQuery) configReply {
-	age := c.Age() // before the version is read, which may then be newer than the age says, but not older
-	current := c.current.Load()
+	current := c.Current()
 	if current == nil {
-		return configReply{Age: age}
+		return configReply{Age: c.ageOf(nil)}
 	}
-	r := configReply{Version: current.table.Version, Age: age}
+	r := configReply{Version: current.table.Version, Age: c.ageOf(current)}
 	if r.Version > q.Version {
 		r.Encoded = current.encoded
 	}
@@ -173,12 +175,12 @@
 	wg.Wait()
 }
 
-// confirm notes that the configuration in force was the newest at a time.
+// confirm notes that no version newer than the one in force existed at a time.
 func (c *configuration) confirm(at time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if at.After(c.peerConfirmedAt) {
-		c.peerConfirmedAt = at
+	if s := c.Current(); s != nil && at.After(s.confirmedAt) {
+		c.current.Store(&configSnapshot{table: s.table, encoded: s.encoded, confirmedAt: at})
 	}
 }
 
@@ -205,15 +207,16 @@
 		c.Logger.Error("cannot decode the configuration; the previous one stays in use", "version", c.version(), "source", from, "error", err)
 		return
 	}
-	var unconfirmed time.Duration
-	if c.Table() != nil {
-		unconfirmed = c.Age()
-	}
+	next := &configSnapshot{table: route.New(config), encoded: value}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if config.Version <= c.version() {
-		return
+	var unconfirmed time.Duration
+	if s := c.Current(); s != nil {
+		if config.Version <= s.table.Version {
+			return
+		}
+		next.confirmedAt, unconfirmed = s.confirmedAt, c.ageOf(s)
 	}
-	c.current.Store(&appliedConfig{table: route.New(config), encoded: value})
+	c.current.Store(next)
 	c.Logger.Info("configuration applied", "version", config.Version, "routes", len(config.Routes), "pools", len(config.Pools), "source", from, "unconfirmed", unconfirmed)
 }
--- a/internal/jobd/service.go
+++ b/internal/jobd/service.go
@@ -282,15 +282,15 @@
 
 // findQueue returns the queue that the host and path of a request select, and the rest of the path.
 func (s *Service) findQueue(host, path string) (work.Queue, string, error) {
-	t := s.Config.Table()
-	if t == nil {
+	config := s.Config.Current()
+	if config == nil {
 		return work.Queue{}, "", ErrNoConfig
 	}
-	q, rest, ok := t.Find(host, path)
+	q, rest, ok := config.table.Find(host, path)
 	if !ok {
-		age := s.Config.Age()
+		age := s.Config.ageOf(config)
 		denied := age <= s.Config.ApplyWithin // otherwise a newer configuration may have the queue
-		s.Logger.Info("no queue matches the request", "host", host, "path", path, "version", t.Version, "unconfirmed", age, "in_force", s.Config.version(), "denied", denied)
+		s.Logger.Info("no queue matches the request", "host", host, "path", path, "version", config.table.Version, "unconfirmed", age, "in_force", s.Config.version(), "denied", denied)
 		if !denied {
 			return work.Queue{}, "", &NotRunError{RetryAfter: admit.RetryElsewhere}
 		}
--- a/internal/watch/watcher.go
+++ b/internal/watch/watcher.go
@@ -42,12 +42,15 @@
 	// Replace receives the newest records of all keys, and Apply each later record.
 	Replace func(records []plog.Record)
 	Apply   func(r plog.Record)
+	// Confirm, if set, is called with the time at which a read was sent, once its records have been processed: with them,
+	// all that the log had confirmed to its writers before then.
+	Confirm func(sent time.Time)
 	Clock   clock.Clock
 	Logger  hclog.Logger
 
 	offset      ident.Offset
 	synced      atomic.Bool
-	confirmedAt atomic.Int64 // Unix nanoseconds of Clock; 0 before the first answer
+	confirmedAt time.Time // when the latest read with an answer was sent
 	failing     atomic.Bool
 	wake        chan struct{}
 }
@@ -63,15 +66,6 @@
 	}
 }
 
-// ConfirmedAt returns when the latest read with an answer was sent: what the log had confirmed to its writers before then
-// has been processed. It is zero before the first answer.
-func (w *Watcher) ConfirmedAt() time.Time {
-	if at := w.confirmedAt.Load(); at != 0 {
-		return time.Unix(0, at)
-	}
-	return time.Time{}
-}
-
 // awaitWake waits for a call of Wake, for enabledPollPeriod at most.
 func (w *Watcher) awaitWake(ctx context.Context) {
 	waitCtx, cancel := context.WithTimeout(ctx, enabledPollPeriod)
@@ -90,7 +84,7 @@
 			w.awaitWake(ctx)
 			continue
 		}
-		previous := w.ConfirmedAt()
+		previous := w.confirmedAt
 		err := w.readOnce(ctx)
 		if ctx.Err() != nil {
 			return
@@ -99,7 +93,7 @@
 		if err != nil {
 			pause = retryPause
 		} else if w.failing.Swap(false) {
-			w.Logger.Info("reading from the log again", "topic", w.Partition.Topic, "unconfirmed", w.ConfirmedAt().Sub(previous))
+			w.Logger.Info("reading from the log again", "topic", w.Partition.Topic, "unconfirmed", w.confirmedAt.Sub(previous))
 		}
 		if pause > 0 {
 			_ = clock.Sleep(ctx, w.Clock, pause) // the loop checks the context
@@ -180,7 +174,10 @@
 	if !b.Complete() {
 		w.Logger.Info("a read has returned a part of the records", "topic", w.Partition.Topic, "next", b.Next, "end", b.End)
 	}
-	w.confirmedAt.Store(b.sent.UnixNano())
+	w.confirmedAt = b.sent
+	if w.Confirm != nil {
+		w.Confirm(b.sent)
+	}
 	w.synced.Store(true)
 }
 
