watch: a read that returns a part of the records confirms nothing

What callers saw: after an outage of the log with many or large versions, 404 for a queue that had been added over 2 s before, from an entry that had begun to catch up.

Cause: the log limits a response (1 MB) and says where the partition ends. The client dropped the end, and the watcher took every response as proof that all that had been confirmed before the read was sent had been applied.

Change: only a read that reaches the end confirms. After one that doesn't, the newest records of all keys are read at once, which is less than the rest.

The registrations of targets are read by the same watcher: WaitSynced no longer returns after a part of them.

--- a/internal/watch/watcher.go
+++ b/internal/watch/watcher.go
@@ -90,9 +90,12 @@
 			return
 		}
 		pause := w.ReadPause
-		if err != nil {
+		switch {
+		case err != nil:
 			pause = retryPause
-		} else if w.failing.Swap(false) {
+		case !w.synced.Load(): // the rest follows at once
+			pause = 0
+		case w.failing.Swap(false):
 			w.Logger.Info("reading from the log again", "topic", w.Partition.Topic, "unconfirmed", w.confirmedAt.Sub(previous))
 		}
 		if pause > 0 {
@@ -172,7 +175,9 @@
 	}
 	w.offset = b.Next
 	if !b.Complete() {
-		w.Logger.Info("a read has returned a part of the records", "topic", w.Partition.Topic, "next", b.Next, "end", b.End)
+		w.Logger.Info("a read has returned a part of the records; reading the newest records of all keys", "topic", w.Partition.Topic, "next", b.Next, "end", b.End)
+		w.synced.Store(false)
+		return
 	}
 	w.confirmedAt = b.sent
 	if w.Confirm != nil {
