jobd: a version that can't be decoded denies no queue

What callers saw: 404 for a queue that a version had which this build can't decode.

Cause: the previous version stays in use, as intended, but the read that returned the other one still confirmed it as the newest.

Change: nothing confirms the configuration until a later version has been decoded; queues that it doesn't have get 503 meanwhile.

Evidence: TestUndecodableVersionDeniesNoQueue (two daemons) got 404 before, 503 now, and 404 again after a version that can be decoded.

--- a/internal/jobd/configuration.go
+++ b/internal/jobd/configuration.go
@@ -33,6 +33,7 @@
 	watcher  *watch.Watcher
 	outdated atomic.Bool // as last logged
 	mu       sync.Mutex  // held while a snapshot replaces another
+	unread   bool        // the log has a version that can't be decoded, later than the one in force
 }
 
 // configSnapshot is the configuration in force at a moment. It is immutable, so that a decision by its table is not made
@@ -179,7 +180,7 @@
 func (c *configuration) confirm(at time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if s := c.Current(); s != nil && at.After(s.confirmedAt) {
+	if s := c.Current(); s != nil && !c.unread && at.After(s.confirmedAt) {
 		c.current.Store(&configSnapshot{table: s.table, encoded: s.encoded, confirmedAt: at})
 	}
 }
@@ -205,6 +206,11 @@
 	config, err := c.Platform.DecodeConfig(value)
 	if err != nil {
 		c.Logger.Error("cannot decode the configuration; the previous one stays in use", "version", c.version(), "source", from, "error", err)
+		if from == sourceLog {
+			c.mu.Lock()
+			c.unread = true
+			c.mu.Unlock()
+		}
 		return
 	}
 	next := &configSnapshot{table: route.New(config), encoded: value}
@@ -218,5 +224,6 @@
 		next.confirmedAt, unconfirmed = s.confirmedAt, c.ageOf(s)
 	}
 	c.current.Store(next)
+	c.unread = false
 	c.Logger.Info("configuration applied", "version", config.Version, "routes", len(config.Routes), "pools", len(config.Pools), "source", from, "unconfirmed", unconfirmed)
 }
