jobd, fresh: a queue is denied only by a configuration that was the newest a moment ago

What callers saw: a final 404 for a queue that existed, from an entry whose configuration was up to the bound old.

Cause: the age up to which a configuration denied queues was the whole time in which changes must be in force. A 404 is final, so that it needs better evidence than a request that can be served.

Change: a request without a queue makes the entry read what the log has beyond its configuration, one read for all such requests and none within a twentieth of the bound after the last (package fresh). If the queue is new, the request is served. If the log can't be read within an eighth of the bound, the client gets 503 and comes back; for as long after that, further requests get it at once. This is what owners already do for 410: a job is unknown only once a write has shown that no later owner exists.

TestUnconfirmedConfigurationDeniesNoQueue counted on a process that doesn't look at the log before it answers: its outdated process now has a log that refuses to be read, with the same results demanded, and one that is merely behind is added.

--- a/internal/jobd/configuration.go
+++ b/internal/jobd/configuration.go
@@ -6,9 +6,11 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/toucanhatch/toucanhatch/internal/clock"
+	"github.com/toucanhatch/toucanhatch/internal/fresh"
 	"github.com/toucanhatch/toucanhatch/internal/link"
 	"github.com/toucanhatch/toucanhatch/internal/panics"
 	"github.com/toucanhatch/toucanhatch/internal/plog"
@@ -31,6 +33,7 @@
 
 	current  atomic.Pointer[configSnapshot] // nil until a configuration has been read
 	watcher  *watch.Watcher
+	check    fresh.Check
 	outdated atomic.Bool // as last logged
 	mu       sync.Mutex  // held while a snapshot replaces another
 	unread   bool        // the log has a version that can't be decoded, later than the one in force
@@ -69,6 +72,17 @@
 	configQueriesWithinTarget = 4
 	// configQueryPeers is how many peers are asked at a time.
 	configQueryPeers = 2
+	// denialsWithinTarget, readTimeoutsWithinTarget and failurePausesWithinTarget divide ApplyWithin: how recently a
+	// configuration must have been the newest to deny a queue, how long the log has to show that, and for how long after
+	// a failure it isn't asked again.
+	denialsWithinTarget       = 20
+	readTimeoutsWithinTarget  = 8
+	failurePausesWithinTarget = 8
+)
+
+var (
+	errPartRead     = errors.New("the read has returned a part of the records")
+	errReadPanicked = errors.New("the read ended by a panic")
 )
 
 func (c *configuration) init() {
@@ -81,6 +95,10 @@
 		},
 		Apply: c.apply, Confirm: c.confirm,
 	}
+	c.check = fresh.Check{
+		ConfirmedAt: func() time.Time { return c.snapshot().confirmedAt }, Read: c.readNewer, MaxAge: c.ApplyWithin / denialsWithinTarget,
+		Timeout: c.ApplyWithin / readTimeoutsWithinTarget, FailurePause: c.ApplyWithin / failurePausesWithinTarget, Clock: c.Clock,
+	}
 }
 
 // Run reads the operators' records until ctx is done. While the log leaves reads unanswered here, it asks other daemons
@@ -96,34 +114,58 @@
 	c.watcher.Run(ctx)
 }
 
-// Current returns the configuration in force; nil if none has been read.
-func (c *configuration) Current() *configSnapshot { return c.current.Load() }
-
-// Table returns the routes and pools of the configuration that is in force; nil if none has been read.
-func (c *configuration) Table() *route.Table {
+// snapshot returns the configuration in force; its table is nil if none has been read.
+func (c *configuration) snapshot() configSnapshot {
 	if current := c.current.Load(); current != nil {
-		return current.table
+		return *current
 	}
-	return nil
+	return configSnapshot{}
 }
 
+// version returns the version of the configuration, 0 if there is none.
+func (s *configSnapshot) version() int64 {
+	if s.table == nil {
+		return 0
+	}
+	return s.table.Version
+}
+
+// Table returns the routes and pools of the configuration that is in force; nil if none has been read.
+func (c *configuration) Table() *route.Table { return c.snapshot().table }
+
 // version returns the version in force, 0 if there is none.
 func (c *configuration) version() int64 {
-	if t := c.Table(); t != nil {
-		return t.Version
-	}
-	return 0
+	s := c.snapshot()
+	return s.version()
 }
 
 // Age returns the time since the configuration in force was known to be the newest.
-func (c *configuration) Age() time.Duration { return c.ageOf(c.Current()) }
+func (c *configuration) Age() time.Duration { return c.ageOf(c.snapshot()) }
 
 // ageOf returns the time since a configuration was known to be the newest.
-func (c *configuration) ageOf(s *configSnapshot) time.Duration {
-	if s == nil {
-		s = &configSnapshot{}
-	}
-	return c.Clock.Now().Sub(s.confirmedAt)
+func (c *configuration) ageOf(s configSnapshot) time.Duration { return c.Clock.Now().Sub(s.confirmedAt) }
+
+// readNewer reads the versions that the log has beyond the one in force, apart from the watcher, which waits for them.
+func (c *configuration) readNewer(ctx context.Context) error {
+	err := errReadPanicked
+	panics.Catch(c.Logger, "read of the configuration", func() {
+		sent := c.Clock.Now()
+		var b plog.Batch
+		if b, err = c.Platform.Log.Read(ctx, c.Platform.OperatorPartition, c.watcher.Offset(), 0); err != nil {
+			return
+		}
+		for _, r := range b.Records {
+			if r.Key == c.Platform.ConfigKey {
+				c.apply(r)
+			}
+		}
+		if !b.Complete() {
+			err = errPartRead
+			return
+		}
+		c.confirm(sent)
+	})
+	return err
 }
 
 // reportAge publishes the version and its age, and logs when the age passes the time in which changes must be in force.
@@ -141,11 +183,8 @@
 
 // reply answers the query of another daemon.
 func (c *configuration) reply(q configQuery) configReply {
-	current := c.Current()
-	if current == nil {
-		return configReply{Age: c.ageOf(nil)}
-	}
-	r := configReply{Version: current.table.Version, Age: c.ageOf(current)}
+	current := c.snapshot()
+	r := configReply{Version: current.version(), Age: c.ageOf(current)}
 	if r.Version > q.Version {
 		r.Encoded = current.encoded
 	}
@@ -180,8 +219,9 @@
 func (c *configuration) confirm(at time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if s := c.Current(); s != nil && !c.unread && at.After(s.confirmedAt) {
-		c.current.Store(&configSnapshot{table: s.table, encoded: s.encoded, confirmedAt: at})
+	if s := c.snapshot(); s.table != nil && !c.unread && at.After(s.confirmedAt) {
+		s.confirmedAt = at
+		c.current.Store(&s)
 	}
 }
 
@@ -217,8 +257,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var unconfirmed time.Duration
-	if s := c.Current(); s != nil {
-		if config.Version <= s.table.Version {
+	if s := c.snapshot(); s.table != nil {
+		if config.Version <= s.version() {
 			return
 		}
 		next.confirmedAt, unconfirmed = s.confirmedAt, c.ageOf(s)
--- a/internal/jobd/configuration_test.go
+++ b/internal/jobd/configuration_test.go
@@ -40,12 +40,14 @@
 // Guards against a queue that is denied by a configuration of which the process can know that it is old.
 func TestUnconfirmedConfigurationDeniesNoQueue(t *testing.T) {
 	log := &fakes.Log{}
-	current, outdated := newTestConfiguration(log), newTestConfiguration(log)
+	refusing := &fakes.Log{BeforeCall: func(string, plog.TopicPartition) (bool, error) { return false, plog.ErrRefused }}
+	current, behind, outdated := newTestConfiguration(log), newTestConfiguration(log), newTestConfiguration(refusing)
 	if err := log.Append(t.Context(), current.Platform.OperatorPartition, plog.Writer{}, []plog.Record{configRecord("1")}); err != nil {
 		t.Fatal(err)
 	}
 	go current.Run(t.Context())
 	current.watcher.WaitSynced(t.Context())
+	behind.apply(configRecord("0"))
 	outdated.apply(configRecord("1"))
 
 	for _, test := range []struct {
@@ -57,12 +59,13 @@
 	}{
 		{"current, a queue", current, "/queue/1", false, false},
 		{"current, no queue", current, "/other/1", true, false},
+		{"behind, no queue", behind, "/other/1", true, false},
 		{"outdated, a queue", outdated, "/queue/1", false, false},
 		{"outdated, no queue", outdated, "/other/1", false, true},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			s := &Service{Config: test.config, Logger: hclog.NewNullLogger()}
-			_, _, err := s.Queue("h", test.path)
+			_, _, err := s.Queue(t.Context(), "h", test.path)
 			var notRun *NotRunError
 			if got := errors.Is(err, ErrNoQueue); got != test.denied {
 				t.Errorf("error %v: denied %v, want %v", err, got, test.denied)
--- a/internal/jobd/service.go
+++ b/internal/jobd/service.go
@@ -280,28 +280,32 @@
 	s.waves[i] = w
 }
 
-// findQueue returns the queue that the host and path of a request select, and the rest of the path.
-func (s *Service) findQueue(host, path string) (work.Queue, string, error) {
-	config := s.Config.Current()
-	if config == nil {
+// findQueue returns the queue that the host and path of a request select, and the rest of the path. That there is none is
+// said only by a configuration that was the newest a moment ago.
+func (s *Service) findQueue(ctx context.Context, host, path string) (work.Queue, string, error) {
+	previous := s.Config.snapshot()
+	if previous.table == nil {
 		return work.Queue{}, "", ErrNoConfig
 	}
-	q, rest, ok := config.table.Find(host, path)
-	if !ok {
-		age := s.Config.ageOf(config)
-		denied := age <= s.Config.ApplyWithin // otherwise a newer configuration may have the queue
-		s.Logger.Info("no queue matches the request", "host", host, "path", path, "version", config.table.Version, "unconfirmed", age, "in_force", s.Config.version(), "denied", denied)
-		if !denied {
-			return work.Queue{}, "", &NotRunError{RetryAfter: admit.RetryElsewhere}
-		}
-		return work.Queue{}, "", ErrNoQueue
+	if q, rest, ok := previous.table.Find(host, path); ok {
+		return q, rest, nil
+	}
+	newest := s.Config.check.Newest(ctx)
+	config := s.Config.snapshot()
+	if q, rest, ok := config.table.Find(host, path); ok {
+		s.Logger.Info("the queue of a request is new", "host", host, "path", path, "previous", previous.version(), "version", config.version())
+		return q, rest, nil
+	}
+	s.Logger.Info("no queue matches the request", "host", host, "path", path, "version", config.version(), "unconfirmed", s.Config.ageOf(config), "denied", newest)
+	if !newest { // a newer configuration may have the queue
+		return work.Queue{}, "", &NotRunError{RetryAfter: admit.RetryElsewhere}
 	}
-	return q, rest, nil
+	return work.Queue{}, "", ErrNoQueue
 }
 
 // Queue returns the id of the queue that the host and path of a request select, and the rest of the path.
-func (s *Service) Queue(host, path string) (work.QueueID, string, error) {
-	q, rest, err := s.findQueue(host, path)
+func (s *Service) Queue(ctx context.Context, host, path string) (work.QueueID, string, error) {
+	q, rest, err := s.findQueue(ctx, host, path)
 	return q.ID, rest, err
 }
 
@@ -316,7 +320,7 @@
 // Submit submits a job. The error is nil if the job is stored, a [*work.SpecError] if it can't be stored, a
 // [*shard.RefusedError] or a [*NotRunError] if it is not stored and never will be, and [ErrUnknownOutcome] if it may be stored.
 func (s *Service) Submit(ctx context.Context, host, path string, id work.JobID, spec *work.Spec) error {
-	q, _, err := s.findQueue(host, path)
+	q, _, err := s.findQueue(ctx, host, path)
 	if err != nil {
 		return err
 	}
@@ -355,7 +359,7 @@
 
 // Cancel cancels a job; found is false if there is no such job.
 func (s *Service) Cancel(ctx context.Context, host, path string, id work.JobID) (found bool, err error) {
-	q, _, err := s.findQueue(host, path)
+	q, _, err := s.findQueue(ctx, host, path)
 	if err != nil {
 		return false, err
 	}
@@ -373,7 +377,7 @@
 
 // State returns the state of a job; found is false if there is no such job.
 func (s *Service) State(ctx context.Context, host, path string, id work.JobID) (state work.JobState, found bool, err error) {
-	q, _, err := s.findQueue(host, path)
+	q, _, err := s.findQueue(ctx, host, path)
 	if err != nil {
 		return "", false, err
 	}
@@ -391,7 +395,7 @@
 
 // Pending returns how many jobs of a queue have not started.
 func (s *Service) Pending(ctx context.Context, host, path string) (int, error) {
-	q, _, err := s.findQueue(host, path)
+	q, _, err := s.findQueue(ctx, host, path)
 	if err != nil {
 		return 0, err
 	}
--- a/internal/watch/watcher.go
+++ b/internal/watch/watcher.go
@@ -48,7 +48,7 @@
 	Clock   clock.Clock
 	Logger  hclog.Logger
 
-	offset      ident.Offset
+	offset      atomic.Int64 // of the next record; those before it have been processed
 	synced      atomic.Bool
 	confirmedAt time.Time // when the latest read with an answer was sent
 	failing     atomic.Bool
@@ -66,6 +66,9 @@
 	}
 }
 
+// Offset returns the offset of the next record; those before it have been processed.
+func (w *Watcher) Offset() ident.Offset { return ident.Offset(w.offset.Load()) }
+
 // awaitWake waits for a call of Wake, for enabledPollPeriod at most.
 func (w *Watcher) awaitWake(ctx context.Context) {
 	waitCtx, cancel := context.WithTimeout(ctx, enabledPollPeriod)
@@ -123,7 +126,7 @@
 func (w *Watcher) readOnce(ctx context.Context) error {
 	step := w.ApplyWithin / readsWithinTarget
 	policy := hedge.Policy{After: 2 * step, Interval: step, Clock: w.Clock, Logger: w.Logger}
-	synced, offset := w.synced.Load(), w.offset
+	synced, offset := w.synced.Load(), w.Offset()
 	b, err := hedge.Do(ctx, policy, func(ctx context.Context, n int) (batch, error) {
 		var b batch
 		var err error
@@ -143,11 +146,11 @@
 	var trimmed *plog.TrimmedError
 	switch {
 	case errors.As(err, &trimmed):
-		w.Logger.Info("the log dropped records before they were read; reading the newest records of all keys", "topic", w.Partition.Topic, "offset", w.offset, "first", trimmed.FirstOffset)
+		w.Logger.Info("the log dropped records before they were read; reading the newest records of all keys", "topic", w.Partition.Topic, "offset", offset, "first", trimmed.FirstOffset)
 		w.synced.Store(false)
 		return nil
 	case errors.Is(err, plog.ErrUnreadable):
-		w.Logger.Warn("skipping records that can't be read; reading the newest records of all keys", "topic", w.Partition.Topic, "offset", w.offset, "error", err)
+		w.Logger.Warn("skipping records that can't be read; reading the newest records of all keys", "topic", w.Partition.Topic, "offset", offset, "error", err)
 		w.synced.Store(false)
 		return err
 	case err != nil:
@@ -173,7 +176,7 @@
 			panics.Catch(w.Logger.With("key", r.Key), "record of "+string(w.Partition.Topic), func() { w.Apply(r) })
 		}
 	}
-	w.offset = b.Next
+	w.offset.Store(int64(b.Next))
 	if !b.Complete() {
 		w.Logger.Info("a read has returned a part of the records; reading the newest records of all keys", "topic", w.Partition.Topic, "next", b.Next, "end", b.End)
 		w.synced.Store(false)
