plog, platform: a repeated call uses a connection of its own

What callers saw: a configuration in force later than the bound after open connections had gone silent; then 404 or 503 for a queue that had been added.

Cause: the repeats of an unanswered read took idle connections of the same pool, which had gone silent with the first one. Each cost a quarter of the bound: with two idle ones the third attempt, after three quarters of the bound, was the first to reach the log.

Change: a repeat is marked in its context and dials. The repeats of appends do the same.

--- a/internal/jobd/configuration.go
+++ b/internal/jobd/configuration.go
@@ -143,7 +143,9 @@
 func (c *configuration) Age() time.Duration { return c.ageOf(c.snapshot()) }
 
 // ageOf returns the time since a configuration was known to be the newest.
-func (c *configuration) ageOf(s configSnapshot) time.Duration { return c.Clock.Now().Sub(s.confirmedAt) }
+func (c *configuration) ageOf(s configSnapshot) time.Duration {
+	return c.Clock.Now().Sub(s.confirmedAt)
+}
 
 // readNewer reads the versions that the log has beyond the one in force, apart from the watcher, which waits for them.
 func (c *configuration) readNewer(ctx context.Context) error {
--- a/internal/plog/repeat.go
+++ b/internal/plog/repeat.go
@@ -21,6 +21,16 @@
 	retryPause = 50 * time.Millisecond
 )
 
+// repeatKey is the key of the mark of contexts that [Repeat] returns.
+type repeatKey struct{}
+
+// Repeat marks the context of a call that repeats an unanswered one. It must be sent on a connection of its own: the open
+// ones may have gone silent together with that of the first call.
+func Repeat(ctx context.Context) context.Context { return context.WithValue(ctx, repeatKey{}, true) }
+
+// IsRepeat reports whether the context has been marked by [Repeat].
+func IsRepeat(ctx context.Context) bool { return ctx.Value(repeatKey{}) != nil }
+
 // Appender executes appends that must be repeated until the log answers. Set its exported fields before the first call.
 type Appender struct {
 	Log    Log
@@ -56,7 +66,7 @@
 			return ctx.Err()
 		case <-due:
 			inFlight++
-			go a.attempt(ctx, results, to, w, records)
+			go a.attempt(Repeat(ctx), results, to, w, records)
 			next.Stop()
 			next = schedule(repeatInterval)
 		case err := <-results:
--- a/internal/watch/watcher.go
+++ b/internal/watch/watcher.go
@@ -122,12 +122,15 @@
 }
 
 // readOnce reads the newest records if the watcher is not synced, and otherwise the records appended since the last read.
-// A read without an answer is repeated on another connection.
+// A read without an answer is repeated on a connection of its own.
 func (w *Watcher) readOnce(ctx context.Context) error {
 	step := w.ApplyWithin / readsWithinTarget
 	policy := hedge.Policy{After: 2 * step, Interval: step, Clock: w.Clock, Logger: w.Logger}
 	synced, offset := w.synced.Load(), w.Offset()
 	b, err := hedge.Do(ctx, policy, func(ctx context.Context, n int) (batch, error) {
+		if n > 0 {
+			ctx = plog.Repeat(ctx)
+		}
 		var b batch
 		var err error
 		switch {
