jobd: peers are asked for the configuration sooner, and more of them

What callers saw: a configuration in force late, or requests for a new queue refused with 503, at an entry that the log turned away while it served others.

Cause: an entry asked two of its peers, only once its configuration had been unconfirmed for half of the bound, and at intervals of a quarter. If both were turned away as well, the next two came after three quarters, and after a second miss the bound had passed.

Change: an entry whose reads are refused asks after a quarter of the bound instead of a half; a round goes on with twice as many peers until one has a recent configuration. A round without one is followed by the pause that it had before.

--- a/internal/jobd/configuration.go
+++ b/internal/jobd/configuration.go
@@ -36,6 +36,7 @@
 	check    fresh.Check
 	outdated atomic.Bool // as last logged
 	mu       sync.Mutex  // held while a snapshot replaces another
+	nextAsk  time.Time   // when peers may be asked again
 	unread   bool        // the log has a version that can't be decoded, later than the one in force
 }
 
@@ -55,23 +56,9 @@
 	sourcePeer configSource = "peer"
 )
 
-// configQuery asks another daemon for a newer configuration than that of a version.
-type configQuery struct {
-	Version int64 `cbor:"1,keyasint"`
-}
-
-// configReply is the response to a [configQuery].
-type configReply struct {
-	Version int64         `cbor:"1,keyasint"`           // that the daemon has in force; 0 if none
-	Age     time.Duration `cbor:"2,keyasint"`           // since that version was known to be the newest
-	Encoded []byte        `cbor:"3,keyasint,omitempty"` // of that version, if it is newer than the one asked for
-}
-
 const (
-	// configQueriesWithinTarget is how often peers are asked within ApplyWithin.
-	configQueriesWithinTarget = 4
-	// configQueryPeers is how many peers are asked at a time.
-	configQueryPeers = 2
+	// ageChecksWithinTarget is how often the age of the configuration is checked within ApplyWithin.
+	ageChecksWithinTarget = 8
 	// denialsWithinTarget, readTimeoutsWithinTarget and failurePausesWithinTarget divide ApplyWithin: how recently a
 	// configuration must have been the newest to deny a queue, how long the log has to show that, and for how long after
 	// a failure it isn't asked again.
@@ -101,16 +88,14 @@
 	}
 }
 
-// Run reads the operators' records until ctx is done. While the log leaves reads unanswered here, it asks other daemons
-// for the configuration.
+// Run reads the operators' records until ctx is done. While the log refuses reads or leaves them unanswered here, it asks
+// other daemons for the configuration.
 func (c *configuration) Run(ctx context.Context) {
-	queries := c.Clock.Every(c.ApplyWithin/configQueriesWithinTarget, func() {
+	checks := c.Clock.Every(c.ApplyWithin/ageChecksWithinTarget, func() {
 		c.reportAge()
-		if c.Age() > c.ApplyWithin/2 {
-			panics.Catch(c.Logger, "configuration of peers", func() { c.askPeers(ctx) })
-		}
+		panics.Catch(c.Logger, "configuration of peers", func() { c.followPeers(ctx) })
 	})
-	defer queries.Stop()
+	defer checks.Stop()
 	c.watcher.Run(ctx)
 }
 
@@ -183,40 +168,6 @@
 	}
 }
 
-// reply answers the query of another daemon.
-func (c *configuration) reply(q configQuery) configReply {
-	current := c.snapshot()
-	r := configReply{Version: current.version(), Age: c.ageOf(current)}
-	if r.Version > q.Version {
-		r.Encoded = current.encoded
-	}
-	return r
-}
-
-// askPeers asks some other daemons for a newer configuration.
-func (c *configuration) askPeers(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, c.ApplyWithin/configQueriesWithinTarget)
-	defer cancel()
-	var wg sync.WaitGroup
-	for _, addr := range c.SomePeers(configQueryPeers) {
-		wg.Go(func() {
-			sent := c.Clock.Now()
-			r, err := link.Call[configReply](ctx, c.PeerClient, addr, methodConfig, configQuery{Version: c.version()})
-			if err != nil || r.Version == 0 {
-				return // another daemon may have it
-			}
-			if len(r.Encoded) > 0 {
-				c.Logger.Info("a peer has a newer configuration", "peer", addr, "version", r.Version, "unconfirmed", r.Age)
-				c.applyConfig(r.Encoded, sourcePeer)
-			}
-			if c.version() >= r.Version {
-				c.confirm(sent.Add(-r.Age))
-			}
-		})
-	}
-	wg.Wait()
-}
-
 // confirm notes that no version newer than the one in force existed at a time.
 func (c *configuration) confirm(at time.Time) {
 	c.mu.Lock()
--- a/internal/jobd/configuration_test.go
+++ b/internal/jobd/configuration_test.go
@@ -107,3 +107,31 @@
 		t.Errorf("reply to a peer with the same version has %d bytes, want %d", len(got), want)
 	}
 }
+
+// Guards against a process that the log turns away and that learns of a version late, because the few peers that it asks are
+// turned away as well.
+func TestConfigurationIsReadFromTheFewPeersThatHaveIt(t *testing.T) {
+	refusing := &fakes.Log{BeforeCall: func(string, plog.TopicPartition) (bool, error) { return false, plog.ErrRefused }}
+	newer, older := newTestConfiguration(refusing), newTestConfiguration(refusing)
+	newer.apply(configRecord("3"))
+	newer.confirm(time.Now())
+	older.apply(configRecord("2"))
+	var peers []string
+	for range 9 {
+		peers = append(peers, startPeer(t, older.reply(configQuery{Version: 2})))
+	}
+	peers = append(peers, startPeer(t, newer.reply(configQuery{Version: 2})))
+
+	c := newTestConfiguration(refusing)
+	c.SomePeers = func(n int) []string { return peers[:min(n, len(peers))] }
+	c.apply(configRecord("2"))
+	c.confirm(time.Now())
+	confirmed := time.Now()
+	go c.Run(t.Context())
+	for c.version() != 3 {
+		if got := time.Since(confirmed); got > c.ApplyWithin {
+			t.Fatalf("version %d after %v, want 3, which one of %d peers has", c.version(), got, len(peers))
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
--- a/internal/watch/watcher.go
+++ b/internal/watch/watcher.go
@@ -69,6 +69,9 @@
 // Offset returns the offset of the next record; those before it have been processed.
 func (w *Watcher) Offset() ident.Offset { return ident.Offset(w.offset.Load()) }
 
+// Failing reports whether the last read has failed, rather than being unanswered so far.
+func (w *Watcher) Failing() bool { return w.failing.Load() }
+
 // awaitWake waits for a call of Wake, for enabledPollPeriod at most.
 func (w *Watcher) awaitWake(ctx context.Context) {
 	waitCtx, cancel := context.WithTimeout(ctx, enabledPollPeriod)
