shard: a job of which a record can't be decoded is not denied, replaced or removed

What callers saw: 410 for an accepted job, and 200 for a second submission that replaced it, from an owner that couldn't decode its record; segments of such a job were removed at the takeover, and a job with one undecodable segment went on without the state of those tasks.

Change: the owner keeps the ids of such jobs. GET gets 503, POST and DELETE 504, at once; their records stay as they are.

--- a/internal/jobd/service.go
+++ b/internal/jobd/service.go
@@ -95,6 +95,7 @@
 	outcomeRefused   outcome = "refused"
 	outcomeNotRun    outcome = "not_run"
 	outcomeInvalid   outcome = "invalid" // the job can't be stored
+	outcomeUndecoded outcome = "undecoded" // the job is stored, and its owner can't decode it
 	outcomeNotOwner  outcome = "not_owner"
 	outcomeUncertain outcome = "unsure" // the request may have been carried out
 )
@@ -174,6 +175,8 @@
 		r.Outcome, r.RetryAfter = outcomeRefused, refused.RetryAfter
 	case errors.Is(err, shard.ErrInvalid):
 		r.Outcome = outcomeInvalid
+	case errors.Is(err, shard.ErrUndecoded):
+		r.Outcome = outcomeUndecoded
 	case errors.Is(err, shard.ErrNotStored):
 		r.Outcome, r.RetryAfter = outcomeNotRun, admit.RetryAfterOutage(s.pingReply().SinceLogResponse)
 	case errors.Is(err, shard.ErrNotOwner):
@@ -332,7 +335,7 @@
 	err = nil
 	switch {
 	case r.Outcome == outcomeOK:
-	case uncertain: // an earlier attempt may still be stored
+	case uncertain, r.Outcome == outcomeUndecoded: // an earlier attempt may still be stored, or is
 		err = ErrUnknownOutcome
 	case r.Outcome == outcomeInvalid:
 		err = &work.SpecError{Reason: shard.ErrInvalid.Error()}
--- a/internal/jobs/stored.go
+++ b/internal/jobs/stored.go
@@ -29,8 +29,9 @@
 
 // StoredJob holds the records of one job.
 type StoredJob struct {
-	Record   *Record // nil if the store has none that can be decoded
-	Segments []*SegmentRecord
+	Record    *Record // nil if the store has none that can be decoded
+	Segments  []*SegmentRecord
+	Undecoded bool // the store has records of the job that can't be decoded, so that the others are a part of it
 }
 
 // Stored holds the records that have been read from the store, by job.
@@ -46,16 +47,20 @@
 	}
 	if segment {
 		r, err := DecodeSegment(e.Value)
-		if err == nil {
-			j.Segments = append(j.Segments, r)
+		if err != nil {
+			j.Undecoded = true
+			return err
 		}
-		return err
+		j.Segments = append(j.Segments, r)
+		return nil
 	}
 	r, err := DecodeRecord(e.Value)
-	if err == nil {
-		j.Record = r
+	if err != nil {
+		j.Undecoded = true
+		return err
 	}
-	return err
+	j.Record = r
+	return nil
 }
 
 // Change is what one write stores of one job.
--- a/internal/shard/requests.go
+++ b/internal/shard/requests.go
@@ -31,6 +31,10 @@
 func (s *Shard) Submit(ctx context.Context, queue work.Queue, id work.JobID, spec *work.Spec) error {
 	reply := make(chan error, 1)
 	return s.call(ctx, reply, func(now time.Time) {
+		if s.undecoded[id] {
+			reply <- ErrUndecoded
+			return
+		}
 		p := s.pool(queue.Pool)
 		if s.writeOverdue(now) && !p.Known(id) {
 			p.NoteArrival(now, id, queue, spec)
@@ -58,6 +62,10 @@
 func (s *Shard) Cancel(ctx context.Context, pool ident.PoolID, id work.JobID) (known bool, err error) {
 	reply := make(chan error, 1)
 	err = s.call(ctx, reply, func(now time.Time) {
+		if s.undecoded[id] {
+			reply <- ErrUndecoded
+			return
+		}
 		p := s.pool(pool)
 		writeSeq, ok := p.Cancel(now, id)
 		if known = ok; !ok {
@@ -73,6 +81,10 @@
 func (s *Shard) State(ctx context.Context, pool ident.PoolID, id work.JobID) (state work.JobState, known bool, err error) {
 	reply := make(chan error, 1)
 	err = s.call(ctx, reply, func(time.Time) {
+		if s.undecoded[id] {
+			reply <- ErrUndecoded
+			return
+		}
 		p := s.pool(pool)
 		state, known = p.State(id, p.durable)
 		if !known {
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -29,6 +29,8 @@
 	ErrUnknownOutcome = errors.New("it is not known whether the change is stored")
 	// ErrInvalid means that the log rejects the job's record, so that the job can't be stored.
 	ErrInvalid = errors.New("the log rejects the job's record")
+	// ErrUndecoded means that the job is stored, and a record of it can't be decoded, so that nothing is known of it here.
+	ErrUndecoded = errors.New("a record of the job can't be decoded")
 	// ErrNotStored means that the change was not stored and will not be.
 	ErrNotStored = errors.New("the log is out of reach; nothing was stored")
 )
@@ -113,6 +115,7 @@
 	proofWaiters         []chan error        // requests that wait for a write that proves the ownership
 	seq                  int64               // of the last append
 	tombstones           []plog.Record       // remove the records of expired jobs
+	undecoded            map[work.JobID]bool // stored jobs of which a record can't be decoded
 	calibrations         []*jobs.Calibration // stored by the previous owner
 	lastCalibrationWrite time.Time           // when the pools' calibrations were last written
 	lastExpiry           time.Time           // when finished jobs were last searched for expired ones
@@ -152,7 +155,7 @@
 	s.ctx, s.stop = context.WithCancel(ctx)
 	s.mailbox = make(chan func(time.Time), mailboxSize)
 	s.ready, s.done = make(chan struct{}), make(chan struct{})
-	s.pools = map[ident.PoolID]*pool{}
+	s.pools, s.undecoded = map[ident.PoolID]*pool{}, map[work.JobID]bool{}
 }
 
 // Stop ends the shard and returns when it no longer acts. Changes are written first if the log responds within
--- a/internal/shard/write.go
+++ b/internal/shard/write.go
@@ -317,10 +317,14 @@
 }
 
 // restore passes the stored jobs to their pools. Segments without a record are removed: they remain of a job whose
-// removal, or whose submission, was stored in part.
+// removal, or whose submission, was stored in part. Jobs of which a record can't be decoded are left to a process that can.
 func (s *Shard) restore(now time.Time, stored jobs.Stored) {
 	for _, id := range slices.Sorted(maps.Keys(stored)) {
 		j := stored[id]
+		if j.Undecoded {
+			s.undecoded[id] = true
+			continue
+		}
 		if j.Record != nil {
 			s.pool(j.Record.Pool).Restore(now, j.Record, j.Segments...)
 			continue
