shard: a previous owner doesn't report the state of its pool

Cause, read: the fleet controller takes down a VM that is reported without runs.

Change: a report is given only by an owner whose ownership was confirmed less than a second ago; its directives are applied in any case. The controller leaves out pools that don't report, which keep their VMs.

--- a/internal/jobd/service.go
+++ b/internal/jobd/service.go
@@ -94,7 +94,7 @@
 	outcomeNoSuchJob outcome = "unknown"
 	outcomeRefused   outcome = "refused"
 	outcomeNotRun    outcome = "not_run"
-	outcomeInvalid   outcome = "invalid" // the job can't be stored
+	outcomeInvalid   outcome = "invalid"   // the job can't be stored
 	outcomeUndecoded outcome = "undecoded" // the job is stored, and its owner can't decode it
 	outcomeNotOwner  outcome = "not_owner"
 	outcomeUncertain outcome = "unsure" // the request may have been carried out
--- a/internal/shard/requests.go
+++ b/internal/shard/requests.go
@@ -47,7 +47,7 @@
 		}
 		a := p.Submit(now, id, queue, spec)
 		if a.Refused {
-			if !s.confirmedWithin(refusalValidity) { // a later owner may know the job
+			if !s.confirmedWithin(answerValidity) { // a later owner may know the job
 				reply <- ErrNotOwner
 				return
 			}
@@ -106,13 +106,18 @@
 	return n, err
 }
 
-// Report passes directives to a pool and returns its state.
+// Report passes directives to a pool and returns its state. The error is [ErrNotOwner] if the ownership has not been
+// confirmed recently: VMs are taken down by what the report says, and the tasks of a later owner are not in it.
 func (s *Shard) Report(ctx context.Context, pool ident.PoolID, d jobs.Directives) (r sizer.Pool, err error) {
 	reply := make(chan error, 1)
 	err = s.call(ctx, reply, func(now time.Time) {
 		p := s.pool(pool)
 		p.lastDirectives = now
 		r = p.Report(now, d)
+		if !s.confirmedWithin(answerValidity) {
+			reply <- ErrNotOwner
+			return
+		}
 		reply <- nil
 	})
 	return r, err
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -44,9 +44,9 @@
 	maxWriteDelay = 300 * time.Millisecond
 	// expirePeriod is the time between two searches for finished jobs that can be removed.
 	expirePeriod = 5 * time.Second
-	// refusalValidity is how long after the last confirmation of the ownership a job may be refused. The group
-	// reassigns the partitions of a silent member only later.
-	refusalValidity = time.Second
+	// answerValidity is how long after the last confirmation of the ownership a job may be refused, or the state of a pool
+	// reported. The group reassigns the partitions of a silent member only later.
+	answerValidity = time.Second
 	// directivesValidity is how long directives hold without being repeated. The fleet controller repeats them
 	// several times a second.
 	directivesValidity = 2 * time.Second
--- a/internal/shard/shard_test.go
+++ b/internal/shard/shard_test.go
@@ -15,6 +15,7 @@
 	"github.com/toucanhatch/toucanhatch/internal/agent"
 	"github.com/toucanhatch/toucanhatch/internal/clock"
 	"github.com/toucanhatch/toucanhatch/internal/fakes"
+	"github.com/toucanhatch/toucanhatch/internal/jobs"
 	"github.com/toucanhatch/toucanhatch/internal/lookup"
 	"github.com/toucanhatch/toucanhatch/internal/plog"
 	"github.com/toucanhatch/toucanhatch/internal/work"
@@ -30,10 +31,16 @@
 func (noTargets) WaitSynced(context.Context)                {}
 
 func startShard(t *testing.T, log plog.Log, epoch plog.Epoch) *Shard {
+	t.Helper()
+	return startConfirmedShard(t, log, epoch, time.Now)
+}
+
+// startConfirmedShard starts a shard whose ownership was confirmed at the time that lastConfirmed returns.
+func startConfirmedShard(t *testing.T, log plog.Log, epoch plog.Epoch, lastConfirmed func() time.Time) *Shard {
 	t.Helper()
 	s := &Shard{
 		Partitions: 1, Epoch: epoch, Log: log, Targets: noTargets{}, Clock: clock.System(), Logger: hclog.NewNullLogger(),
-		Queues: func() []work.Queue { return nil }, WallOffset: func() time.Duration { return 0 }, LastConfirmed: time.Now,
+		Queues: func() []work.Queue { return nil }, WallOffset: func() time.Duration { return 0 }, LastConfirmed: lastConfirmed,
 	}
 	s.Init(context.Background())
 	go s.Run()
@@ -65,6 +72,26 @@
 	}
 }
 
+// Guards against a VM that is taken down for its maintenance by the report of a previous owner, which doesn't know of the
+// tasks that run there.
+func TestPreviousOwnerReportsNoPool(t *testing.T) {
+	var confirmed atomic.Int64
+	s := startConfirmedShard(t, &fakes.Log{}, 1, func() time.Time { return time.Unix(0, confirmed.Load()) })
+	for _, test := range []struct {
+		name string
+		age  time.Duration
+		want error
+	}{
+		{"the ownership was confirmed just now", 0, nil},
+		{"it was confirmed when it may have passed on since", 2 * answerValidity, ErrNotOwner},
+	} {
+		confirmed.Store(time.Now().Add(-test.age).UnixNano())
+		if _, got := s.Report(t.Context(), "p", jobs.Directives{}); !errors.Is(got, test.want) {
+			t.Errorf("%s: report with error %v, want %v", test.name, got, test.want)
+		}
+	}
+}
+
 // Guards against a job that is refused although a write without a response may still store it.
 func TestUnansweredWriteIsNoRefusal(t *testing.T) {
 	log := &fakes.Log{}
