link: a request that times out unanswered moves the others to a new connection

Cause: a connection counts as silent if nothing has arrived for 0.9 s while a response is outstanding. Pings and queries wait for 0.2 to 0.5 s, and each of them began the 0.9 s anew, so that the silence of a link that carries nothing else was never noticed.

Change: after a request that has timed out with nothing received since it was sent, new requests use a new connection; those in flight keep the old one until they end. A connection younger than 0.9 s is kept, so that an overloaded process isn't dialed all the time.

--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -39,6 +39,9 @@
 	dialTimeout = 500 * time.Millisecond
 	// silenceTimeout is how long nothing may arrive on a connection with outstanding requests before it counts as lost.
 	silenceTimeout = 900 * time.Millisecond
+	// suspicionTime is how long nothing may arrive after a request that then times out before other requests use a new
+	// connection. It is many round trips.
+	suspicionTime = 150 * time.Millisecond
 	// pingPeriod is short enough for several pings within silenceTimeout.
 	pingPeriod   = 250 * time.Millisecond
 	writeTimeout = time.Second
@@ -202,6 +205,7 @@
 	pending        map[uint64]chan frame
 	lastReceived   time.Time
 	broken         bool
+	suspect        bool // may have gone silent: only the requests in flight still wait for it
 	checkScheduled bool // a call of check is scheduled
 }
 
@@ -222,7 +226,7 @@
 	return x
 }
 
-// replaceable reports whether the connection was closed, or dialing failed at least redialPause ago.
+// replaceable reports whether the connection was closed or is suspect, or dialing failed at least redialPause ago.
 func (x *conn) replaceable() bool {
 	select {
 	case <-x.ready:
@@ -234,7 +238,7 @@
 	}
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	return x.broken
+	return x.broken || x.suspect
 }
 
 func (x *conn) dial(addr string) {
@@ -265,10 +269,14 @@
 		x.lastReceived = time.Now()
 		ch := x.pending[f.ID]
 		delete(x.pending, f.ID)
+		replaced := x.suspect && len(x.pending) == 0
 		x.mu.Unlock()
 		if ch != nil {
 			ch <- f
 		}
+		if replaced {
+			return
+		}
 	}
 }
 
@@ -323,8 +331,9 @@
 	}
 	x.nextID++
 	id := x.nextID
+	sentAt := time.Now()
 	if len(x.pending) == 0 {
-		x.lastReceived = time.Now()
+		x.lastReceived = sentAt
 	}
 	if !x.checkScheduled {
 		x.checkScheduled = true
@@ -347,13 +356,27 @@
 		}
 		return f.Body, nil
 	case <-ctx.Done():
-		x.mu.Lock()
-		delete(x.pending, id)
-		x.mu.Unlock()
+		x.giveUp(id, sentAt)
 		return nil, errors.Wrapf(ErrConnectionLost, "%s: %v", addr, ctx.Err())
 	}
 }
 
+// giveUp forgets a request whose caller no longer waits. If nothing has arrived since it was sent, the connection may have
+// gone silent. One that was made a moment ago is kept, so that a process that answers late isn't dialed all the time.
+func (x *conn) giveUp(id uint64, sentAt time.Time) {
+	x.mu.Lock()
+	delete(x.pending, id)
+	now := time.Now()
+	if !x.lastReceived.After(sentAt) && now.Sub(sentAt) >= suspicionTime && now.Sub(x.dialEnded) >= silenceTimeout {
+		x.suspect = true
+	}
+	replaced := x.suspect && len(x.pending) == 0
+	x.mu.Unlock()
+	if replaced {
+		x.shutDown()
+	}
+}
+
 // RemoteError is an error that the other process's handler returned.
 type RemoteError struct {
 	Method Method
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -41,20 +41,8 @@
 // Guards against requests that wait forever on a connection on which nothing arrives any more, even if the connection
 // was idle before.
 func TestSilentConnectionFailsItsRequests(t *testing.T) {
-	l, err := Listen(t.Context(), "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	s := &Server{Listener: l, Logger: hclog.NewNullLogger(), Handler: func(_ context.Context, _ Method, body []byte) ([]byte, error) { return body, nil }}
-	go func() { _ = s.Run(t.Context()) }()
-	front, err := Listen(t.Context(), "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	relay := &fakes.Relay{Upstream: l.Addr().String()}
-	go func() { _ = relay.Serve(front) }()
-	defer front.Close()
-	c, addr := &Client{}, front.Addr().String()
+	relay, addr := startRelayedServer(t)
+	c := &Client{}
 	for range 2 { // the second time on a connection that has been idle
 		if _, err := Call[string](t.Context(), c, addr, "m", "a"); err != nil {
 			t.Fatal(err)
@@ -73,3 +61,46 @@
 		t.Errorf("a request on a new connection: %q, %v", got, err)
 	}
 }
+
+// Guards against a connection that has gone silent and stays in use, because each request on it times out before the
+// silence is noticed.
+func TestShortRequestsReplaceSilentConnection(t *testing.T) {
+	relay, addr := startRelayedServer(t)
+	c := &Client{}
+	call := func() error {
+		ctx, cancel := context.WithTimeout(t.Context(), pingPeriod)
+		defer cancel()
+		_, err := Call[string](ctx, c, addr, "m", "a")
+		return err
+	}
+	if err := call(); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(silenceTimeout) // a connection that was made a moment ago is kept
+	relay.SetMode(fakes.RelayDropExisting)
+	begin := time.Now()
+	for call() != nil {
+		if got := time.Since(begin); got > silenceTimeout {
+			t.Fatalf("no response %v after the connection went silent, want one on a new connection within %v", got, silenceTimeout)
+		}
+	}
+}
+
+// startRelayedServer starts a server that echoes requests, and a relay to it; it returns the relay and its address.
+func startRelayedServer(t *testing.T) (*fakes.Relay, string) {
+	t.Helper()
+	l, err := Listen(t.Context(), "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &Server{Listener: l, Logger: hclog.NewNullLogger(), Handler: func(_ context.Context, _ Method, body []byte) ([]byte, error) { return body, nil }}
+	go func() { _ = s.Run(t.Context()) }()
+	front, err := Listen(t.Context(), "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { front.Close() })
+	relay := &fakes.Relay{Upstream: l.Addr().String()}
+	go func() { _ = relay.Serve(front) }()
+	return relay, front.Addr().String()
+}
