ctrl: a wave is not completed by a list of VMs that is older than the wave

What operators would see: a wave that is reported as completed, which is final, although none of its VMs has begun its maintenance.

Cause: a round listed the VMs and then took the waves. VMs that a wave names and the older list lacks counted as gone.

Evidence: TestWaveIsNotCompletedByAnOlderList published 'completed' before.

--- a/internal/ctrl/controller.go
+++ b/internal/ctrl/controller.go
@@ -120,6 +120,7 @@
 
 // round reads the state of the VMs and pools, decides, and sends commands.
 func (c *Controller) round(ctx context.Context) error {
+	waves := c.Pools.Waves() // before the VMs are listed: a VM that is missing from a later list has gone
 	vms, err := c.listVMs(ctx)
 	if err != nil {
 		return err
@@ -129,13 +130,13 @@
 	now := c.Clock.Now()
 	c.forgetCompleted(now, vms)
 	cordons := map[ident.PoolID]map[work.TargetID]jobs.CordonReason{}
-	commands := c.planWaves(now, vms, pools, cordons)
+	commands := c.planWaves(now, waves, vms, pools, cordons)
 	commands = append(commands, c.planMoves(now, vms, pools, cordons)...)
 	c.cordons = cordons
 	if err := c.execute(ctx, commands); err != nil {
 		return err
 	}
-	return c.publishWaves(ctx, vms)
+	return c.publishWaves(ctx, waves, vms)
 }
 
 // execute stores the intents of commands and then sends the commands.
--- a/internal/ctrl/plan.go
+++ b/internal/ctrl/plan.go
@@ -51,7 +51,7 @@
 }
 
 // planWaves chooses the VMs to cordon for maintenance and returns the commands for those without tasks.
-func (c *Controller) planWaves(now time.Time, vms map[work.VMID]work.VM, pools []sizer.Pool, next cordonSet) []command {
+func (c *Controller) planWaves(now time.Time, waves []work.Wave, vms map[work.VMID]work.VM, pools []sizer.Pool, next cordonSet) []command {
 	targets := currentTargets(vms, pools)
 	sizes := sizer.Sizes(pools)
 	poweredOff := map[ident.PoolID]bool{}
@@ -59,7 +59,7 @@
 		poweredOff[p.ID] = p.PoweredOff
 	}
 	var out []command
-	for _, w := range c.Pools.Waves() {
+	for _, w := range waves {
 		state := c.store.wave(now, w.ID)
 		if state.Completed {
 			continue
@@ -161,9 +161,9 @@
 const sizesLogPeriod = time.Second
 
 // publishWaves stores the progress of the waves and publishes it to operators.
-func (c *Controller) publishWaves(ctx context.Context, vms map[work.VMID]work.VM) error {
+func (c *Controller) publishWaves(ctx context.Context, waves []work.Wave, vms map[work.VMID]work.VM) error {
 	now := c.Clock.Now()
-	for _, w := range c.Pools.Waves() {
+	for _, w := range waves {
 		state := c.store.wave(now, w.ID)
 		if state.Published && (state.Completed || !c.waveComplete(state, w, vms)) {
 			if state.Changed {
--- a/internal/ctrl/takeover_test.go
+++ b/internal/ctrl/takeover_test.go
@@ -178,3 +178,50 @@
 		}
 	}
 }
+
+// newVMService lists a VM that has been added just after the first list was made.
+type newVMService struct {
+	recordingService
+	lists atomic.Int32
+}
+
+func (s *newVMService) VMs(context.Context) ([]work.VM, error) {
+	list := []work.VM{{ID: "old", Pool: "p", State: work.VMUp}, {ID: "new", Pool: "p", State: work.VMUp}}
+	if s.lists.Add(1) == 1 {
+		return list[:1], nil
+	}
+	return list, nil
+}
+
+// newWave implements Pools with a wave that is published just after the first list of VMs was made.
+type newWave struct {
+	singlePool
+	vms *newVMService
+}
+
+func (p newWave) Waves() []work.Wave {
+	if p.vms.lists.Load() == 0 {
+		return nil
+	}
+	return []work.Wave{{ID: 1, VMs: []work.VMID{"new"}, TimeLimit: time.Minute, MaxDown: 1}}
+}
+
+// Guards against a wave that is reported as completed by a list of VMs that is older than the wave: its VM counted as gone.
+func TestWaveIsNotCompletedByAnOlderList(t *testing.T) {
+	log, cloud := &fakes.Log{}, &newVMService{}
+	c := newTestController(t, log, &cloud.recordingService, 1, clock.System(), 0)
+	c.Cloud, c.Pools = cloud, newWave{vms: cloud}
+	var statuses []bool
+	c.EncodeStatus = func(_ int64, completed bool) (plog.Record, error) {
+		statuses = append(statuses, completed)
+		return plog.Record{Key: "wave/1", Value: []byte("x")}, nil
+	}
+	for range 2 {
+		if err := c.round(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if want := []bool{false}; !slices.Equal(statuses, want) {
+		t.Errorf("published as completed: %v, want %v", statuses, want)
+	}
+}
