soak: a route that was added is denied after 0.15 s by no daemon

The check allowed denials for the whole 2 s in which a configuration is in force. What daemons promise is a twentieth of it now. Routes also change in series, and half of the requests are for one of the last three.

--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -47,14 +47,15 @@
 	crowdedCount  = 48
 	faultPeriod   = 12 * time.Second // how long faults are injected
 	recoveryLimit = 40 * time.Second // after the last fault, all accepted jobs must be completed within this time
-	// configApplyTime is the time after which a configuration is in force, the default of the daemons.
-	configApplyTime = 2 * time.Second
-	handlerTime     = 100 * time.Millisecond // from the first output of a daemon until it handles reloads
-	crashingShare   = 40                     // one job in so many has a task that crashes each target that starts it
-	maxCrashes      = 5                      // of targets by one task
-	largeShare      = 30                     // one job in so many has largeTasks tasks, whose state takes several records
-	largeTasks      = 150
-	jobHost         = "desk.example"
+	// denialTime is the time after which no daemon denies a route that was added: a twentieth of the time in which
+	// configurations are in force, 2 s by default, and a margin.
+	denialTime    = 150 * time.Millisecond
+	handlerTime   = 100 * time.Millisecond // from the first output of a daemon until it handles reloads
+	crashingShare = 40                     // one job in so many has a task that crashes each target that starts it
+	maxCrashes    = 5                      // of targets by one task
+	largeShare    = 30                     // one job in so many has largeTasks tasks, whose state takes several records
+	largeTasks    = 150
+	jobHost       = "desk.example"
 )
 
 // knownSeeds lists the seeds that failed once, with the cause. They run every time.
@@ -236,8 +237,8 @@
 	}
 }
 
-// changeRoutes adds a route every now and then until end, and requests one of those that have been in the configuration
-// for configApplyTime from a random daemon: none may deny it.
+// changeRoutes adds routes until end, every now and then or in series, and requests one of those that have been in the
+// configuration for denialTime from a random daemon: none may deny it.
 func changeRoutes(t *testing.T, rng *rand.Rand, fleet *local.Fleet, daemons []*daemonProcess, end time.Time) {
 	routes := []string{"cut", "sew"}
 	var added []time.Time
@@ -245,9 +246,16 @@
 		routes = append(routes, fmt.Sprintf("added-%d", version))
 		fleet.Configure(t.Context(), version, jobHost, routes)
 		added = append(added, time.Now())
-		for next := time.Now().Add(time.Duration(rng.IntN(800)) * time.Millisecond); time.Now().Before(next); time.Sleep(20 * time.Millisecond) {
+		pause := time.Duration(rng.IntN(800)) * time.Millisecond
+		if rng.IntN(4) == 0 {
+			pause = 0
+		}
+		for next := time.Now().Add(pause); time.Now().Before(next); time.Sleep(20 * time.Millisecond) {
 			n := rng.IntN(len(added))
-			if age := time.Since(added[n]); age > configApplyTime {
+			if rng.IntN(2) == 0 {
+				n = len(added) - 1 - rng.IntN(min(len(added), 3)) // one of the last
+			}
+			if age := time.Since(added[n]); age > denialTime {
 				p := daemons[rng.IntN(len(daemons))]
 				if status, _ := call(http.MethodGet, p.clientAddr, "/"+routes[2+n]+"/", ""); status == http.StatusNotFound {
 					t.Errorf("daemon %d denies the route /%s/, %v after it was added", p.index, routes[2+n], age)
