jobd: former owners are asked when no owner is known

Cause, read: the owners are read from the log and, if it doesn't answer, from the owners.

Change: addresses that the table had in the last two minutes are asked after the owners. A line tells when the number of partitions with an owner changes.

--- a/internal/fresh/fresh.go
+++ b/internal/fresh/fresh.go
@@ -41,7 +41,7 @@
 		if !c.ConfirmedAt().Before(since) {
 			return true
 		}
-		r := c.begin()
+		r := c.begin() //nolint:contextcheck // callers share the read, so that it ends with none of them
 		if r == nil {
 			return false
 		}
@@ -70,7 +70,7 @@
 	return r
 }
 
-// run makes a read. Callers share it, so that it ends with none of them.
+// run makes a read.
 func (c *Check) run(r *read) {
 	ctx, cancel := context.WithTimeout(context.Background(), c.Timeout)
 	defer cancel()
--- a/internal/jobd/owners.go
+++ b/internal/jobd/owners.go
@@ -25,6 +25,8 @@
 	ownersQueryTimeout = 300 * time.Millisecond
 	// ownersQueryPeers is how many daemons are asked at a time; some of them may not reach the log either.
 	ownersQueryPeers = 4
+	// seenValidity is how long a former owner may be asked.
+	seenValidity = 2 * time.Minute
 )
 
 // ownerTable holds the peer address of the owner of each partition.
@@ -38,7 +40,8 @@
 
 	mu          sync.Mutex
 	byPartition map[plog.TopicPartition]string
-	readAt      time.Time // when byPartition was requested from the log, by this daemon or another one
+	readAt      time.Time            // when byPartition was requested from the log, by this daemon or another one
+	seen        map[string]time.Time // when the table last had an address
 	refresh     chan struct{}
 }
 
@@ -161,7 +164,27 @@
 			o.Logger.Debug("owner changed", "partition", p.Partition, "owner", a)
 		}
 	}
+	if before, now := len(o.byPartition), len(byPartition); before != now {
+		o.Logger.Info("the number of partitions with an owner has changed", "before", before, "now", now, "age", o.Clock.Now().Sub(readAt))
+	}
 	o.byPartition, o.readAt = byPartition, readAt
+	o.noteSeen()
+}
+
+// noteSeen notes the addresses of the table, and forgets those that it has not had for seenValidity. The caller holds o.mu.
+func (o *ownerTable) noteSeen() {
+	now := o.Clock.Now()
+	if o.seen == nil {
+		o.seen = map[string]time.Time{}
+	}
+	for _, addr := range o.byPartition {
+		o.seen[addr] = now
+	}
+	for addr, at := range o.seen {
+		if now.Sub(at) > seenValidity {
+			delete(o.seen, addr)
+		}
+	}
 }
 
 // snapshot returns the table for daemons that don't reach the log.
@@ -175,11 +198,23 @@
 	return out
 }
 
-// SomePeers returns the addresses of n other owners chosen at random, or of all if there are fewer.
+// SomePeers returns the addresses of n other owners chosen at random. If there are fewer, former owners follow: the log may
+// have taken all partitions away, and only they can tell who has them when the log doesn't answer here.
 func (o *ownerTable) SomePeers(n int) []string {
-	addrs := slices.DeleteFunc(o.Addresses(), func(addr string) bool { return addr == o.PeerAddress })
-	rand.Shuffle(len(addrs), func(i, j int) { addrs[i], addrs[j] = addrs[j], addrs[i] })
-	return addrs[:min(len(addrs), n)]
+	owners := o.Addresses()
+	var former []string
+	o.mu.Lock()
+	for addr := range o.seen {
+		if !slices.Contains(owners, addr) {
+			former = append(former, addr)
+		}
+	}
+	o.mu.Unlock()
+	for _, addrs := range [][]string{owners, former} {
+		rand.Shuffle(len(addrs), func(i, j int) { addrs[i], addrs[j] = addrs[j], addrs[i] })
+	}
+	peers := slices.DeleteFunc(append(owners, former...), func(addr string) bool { return addr == o.PeerAddress })
+	return peers[:min(len(peers), n)]
 }
 
 // askPeers asks some other daemons for their owner tables. It is called while the log can't be read from here: a daemon
--- a/internal/jobd/owners_test.go
+++ b/internal/jobd/owners_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -45,3 +46,33 @@
 		t.Errorf("owner %q after another round of responses, a stale one among them; want %q", got, want)
 	}
 }
+
+// noHoldersLog is a log whose partitions have lost their holders, and which then rejects the calls of this process.
+type noHoldersLog struct {
+	plog.Log
+	calls atomic.Int32
+}
+
+func (l *noHoldersLog) Holders(context.Context, string) ([]plog.Holder, error) {
+	if l.calls.Add(1) == 1 {
+		return nil, nil
+	}
+	return nil, plog.ErrRefused
+}
+
+// Guards against a daemon that knows no owner any more after the log has taken all partitions away for a moment, and then
+// asks nobody. It had no configuration newer than 6 s either, and served no client, until the log accepted its calls.
+func TestOwnersAreReadFromFormerOwners(t *testing.T) {
+	part := plog.TopicPartition{Topic: "jobs", Partition: 2}
+	former := startPeer(t, ownerSnapshot{Entries: []ownerEntry{{Topic: part.Topic, Partition: part.Partition, Address: "current"}}})
+	log := &noHoldersLog{}
+	o := &ownerTable{Log: log, PeerClient: &link.Client{}, Clock: clock.System(), Logger: hclog.NewNullLogger(), refresh: make(chan struct{}, 1)}
+	o.replaceIfNewer(time.Now(), map[plog.TopicPartition]string{part: former})
+	go o.Run(t.Context())
+	for end := time.Now().Add(5 * time.Second); o.Address(part) != "current"; time.Sleep(10 * time.Millisecond) {
+		o.RequestRefresh()
+		if time.Now().After(end) {
+			t.Fatalf("owner %q after %d reads of the log, want \"current\", which a former owner names", o.Address(part), log.calls.Load())
+		}
+	}
+}
