jobd: a client whose queue may be new comes back after one second

Requests that match no queue were told to come back after two seconds, the time in which the load balancer moves clients away from a process that is cut off. An entry that only couldn't confirm its configuration stays in rotation, and retries reach other entries at once, so that the shortest delay is best for the caller.

--- a/internal/jobd/service.go
+++ b/internal/jobd/service.go
@@ -301,7 +301,7 @@
 	}
 	s.Logger.Info("no queue matches the request", "host", host, "path", path, "version", config.version(), "unconfirmed", s.Config.ageOf(config), "denied", newest)
 	if !newest { // a newer configuration may have the queue
-		return work.Queue{}, "", &NotRunError{RetryAfter: admit.RetryElsewhere}
+		return work.Queue{}, "", s.notRunError(response{})
 	}
 	return work.Queue{}, "", ErrNoQueue
 }
