jobd: a version whose decoding panics denies no queue

Cause: the watcher skips a record whose processing panics, and the read still confirmed the version before. The same class as a version that can't be decoded, which the decoding now returns as an error.

Evidence: TestPanickingDecoderDeniesNoQueue was denied before.

--- a/internal/jobd/configuration.go
+++ b/internal/jobd/configuration.go
@@ -68,8 +68,9 @@
 )
 
 var (
-	errPartRead     = errors.New("the read has returned a part of the records")
-	errReadPanicked = errors.New("the read ended by a panic")
+	errPartRead       = errors.New("the read has returned a part of the records")
+	errReadPanicked   = errors.New("the read ended by a panic")
+	errDecodePanicked = errors.New("the decoding ended by a panic")
 )
 
 func (c *configuration) init() {
@@ -194,9 +195,17 @@
 	}
 }
 
+// decode decodes a configuration, and returns an error if that panics.
+func (c *configuration) decode(value []byte) (*work.Config, error) {
+	var config *work.Config
+	err := errDecodePanicked
+	panics.Catch(c.Logger, "configuration", func() { config, err = c.Platform.DecodeConfig(value) })
+	return config, err
+}
+
 // applyConfig puts an encoded configuration in force, unless a newer one is.
 func (c *configuration) applyConfig(value []byte, from configSource) {
-	config, err := c.Platform.DecodeConfig(value)
+	config, err := c.decode(value)
 	if err != nil {
 		c.Logger.Error("cannot decode the configuration; the previous one stays in use", "version", c.version(), "source", from, "error", err)
 		if from == sourceLog {
--- a/internal/jobd/configuration_test.go
+++ b/internal/jobd/configuration_test.go
@@ -23,6 +23,9 @@
 		Platform: &Platform{
 			Log: log, OperatorPartition: plog.TopicPartition{Topic: "op"}, ConfigKey: testConfigKey, IsWaveKey: func(string) bool { return false },
 			DecodeConfig: func(value []byte) (*work.Config, error) {
+				if string(value) == "panic" {
+					panic("a malformed configuration")
+				}
 				version, err := strconv.ParseInt(string(value), 10, 64)
 				return &work.Config{Version: version, Routes: []work.Route{{Host: "h", Prefix: "/queue/"}}}, err
 			},
@@ -135,3 +138,30 @@
 		time.Sleep(10 * time.Millisecond)
 	}
 }
+
+// Guards against a queue that is denied by an older version because the decoding of the newest one panics.
+func TestPanickingDecoderDeniesNoQueue(t *testing.T) {
+	log := &fakes.Log{}
+	c := newTestConfiguration(log)
+	put := func(version string) {
+		t.Helper()
+		if err := log.Append(t.Context(), c.Platform.OperatorPartition, plog.Writer{}, []plog.Record{configRecord(version)}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	put("1")
+	go c.Run(t.Context())
+	c.watcher.WaitSynced(t.Context())
+	s := &Service{Config: c, Clock: clock.System(), Logger: hclog.NewNullLogger()}
+	for _, test := range []struct {
+		version string
+		denied  bool
+	}{{"panic", false}, {"2", true}} {
+		put(test.version)
+		time.Sleep(c.ApplyWithin / 10)
+		_, _, err := s.Queue(t.Context(), "h", "/other/1")
+		if got := errors.Is(err, ErrNoQueue); got != test.denied {
+			t.Errorf("after version %q: error %v: denied %v, want %v", test.version, err, got, test.denied)
+		}
+	}
+}
