jobs: a start that a new incarnation has confirmed is not lost with the one before

What callers saw: nothing; two tasks ran twice.

Cause: a start's response doesn't say which incarnation has answered.

Change: a run that was confirmed and never reported passes to the new incarnation. A report that was requested after the confirmation decides: it names the run, or the run is lost.

--- a/internal/jobs/pool_test.go
+++ b/internal/jobs/pool_test.go
@@ -326,6 +326,48 @@
 	}
 }
 
+// Guards against a task that runs twice: its start was confirmed by a new incarnation of the target, and counted as lost with
+// the one before when a report that had been requested earlier showed the restart.
+func TestStartConfirmedByNewIncarnationIsNotLost(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		running bool // in the new incarnation
+		want    int  // further starts of the task
+	}{
+		{"the new incarnation has confirmed it", true, 0},
+		{"the previous one has confirmed it", false, 1},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			h := newHarness(t, 2)
+			h.submit(smallStep)
+			requested := h.now
+			h.now = h.now.Add(time.Millisecond)
+			started := h.planAndCarryOut()
+			if len(started) != 1 {
+				t.Fatalf("started %v, want one task", started)
+			}
+			target := started[0].Target
+			h.pool.HandleRunReport(h.now, work.RunReport{Target: target, Incarnation: 2000, RequestedAt: requested})
+			h.now = h.now.Add(planPauseInTests)
+			if got := h.planAndCarryOut(); len(got) != 0 {
+				t.Fatalf("started %v by a report that was requested before the start was confirmed, want none", got)
+			}
+			report := work.RunReport{Target: target, Incarnation: 2000, RequestedAt: h.now}
+			if test.running {
+				report.Running = []work.RunStatus{{Task: started[0].Task, Attempt: started[0].Attempt, Percent: 100}}
+			}
+			h.pool.HandleRunReport(h.now, report)
+			h.now = h.now.Add(planPauseInTests)
+			if got := h.planAndCarryOut(); len(got) != test.want {
+				t.Errorf("started %v after a later report, want %d", got, test.want)
+			}
+		})
+	}
+}
+
+// planPauseInTests is the time between two rounds of planning.
+const planPauseInTests = 50 * time.Millisecond
+
 // Guards against runs that start again although they have ended done: a target with many ends lists only the first ones, and
 // a run that it doesn't name was taken for lost.
 func TestRunMissingBesideMoreEndsIsNotLost(t *testing.T) {
--- a/internal/jobs/run.go
+++ b/internal/jobs/run.go
@@ -46,6 +46,7 @@
 	spec           *work.Step
 	target         *target
 	incarnation    int64 // of the target that the run was planned for
+	reported       bool  // that incarnation has reported the run as running
 	state          runState
 	startMayArrive bool // the start command got no response and may still be in flight
 	resumed        bool // from a checkpoint, or adopted: its speed says nothing about the target
--- a/internal/jobs/target.go
+++ b/internal/jobs/target.go
@@ -313,7 +313,9 @@
 
 // handleNewIncarnation ends the runs of a target's previous incarnation. A run
 // whose start command may still be in flight is stopped in the new incarnation
-// before its task starts elsewhere.
+// before its task starts elsewhere. One that was confirmed but never reported may
+// run in either: the response to a start command doesn't say which one has
+// answered. It ends with the first conclusive report that doesn't name it.
 func (p *Pool) handleNewIncarnation(now time.Time, t *target, incarnation int64) {
 	p.handleCrash(now, t, incarnation)
 	t.reportedIncarnation, t.lastEndSeq, t.ackedSeq, t.pendingAcks = incarnation, 0, 0, nil
@@ -328,6 +330,8 @@
 		case !r.inherited && (r.state == runStartSent || r.startMayArrive):
 			r.incarnation, r.state, r.stopAcked = incarnation, runStopping, false
 			p.sendStop(now, r)
+		case !r.inherited && r.state == runRunning && !r.reported && !r.startSentAt.IsZero():
+			r.incarnation = incarnation
 		default:
 			p.markLost(now, r, "the target has restarted")
 		}
@@ -371,6 +375,7 @@
 		r.inherited = false
 		p.markRunning(now, r)
 	}
+	r.reported = true
 	if status.Percent > r.percent || r.advancedAt.IsZero() {
 		r.advancedAt = now
 	}
