jobs: checks in a burst don't count as requests to a target

What callers saw: nothing; lasting tasks of a target were started a second time while they ran, because an entry of another writer named its VM.

The owner was held up for 4 s; the ticks of that time came within a millisecond, and the target's answer 18 ms later.

Change: a check counts if it comes 80 ms or more after the one before.

Evidence: TestChecksInABurstCountOnce fails without the change. The two tests that made all checks at one moment let 100 ms pass between them, as the owner does; what they demand is unchanged.

--- a/internal/jobs/successor_test.go
+++ b/internal/jobs/successor_test.go
@@ -43,6 +43,7 @@
 			test.after(h)
 			for range test.checks {
 				h.pool.HandleSuccessor(h.now, "t0", later, since)
+				h.now = h.now.Add(100 * time.Millisecond)
 			}
 			if again := h.planAndCarryOut(); (len(again) > 0) != test.restart {
 				t.Errorf("started again: %v, want %v", again, test.restart)
@@ -61,9 +62,23 @@
 			if !h.pool.HandleSuccessor(h.now, "t0", incarnation, since) {
 				t.Errorf("incarnation %d counts after %d checks, want %d", incarnation, i, successorChecks)
 			}
+			h.now = h.now.Add(100 * time.Millisecond)
 		}
 		if h.pool.HandleSuccessor(h.now, "t0", incarnation, since) {
 			t.Errorf("incarnation %d is undecided after %d checks", incarnation, successorChecks)
 		}
 	}
 }
+
+// Guards against a registration that counts before its target could answer, because an owner that was held up makes all checks
+// at once.
+func TestChecksInABurstCountOnce(t *testing.T) {
+	h := newHarness(t, 1)
+	since := h.now.Add(time.Minute) // no answer follows
+	for range 10 * successorChecks {
+		if !h.pool.HandleSuccessor(h.now, "t0", 9000, since) {
+			t.Fatalf("the registration counts at once, want after %d checks, each %v or more after the one before", successorChecks, successorCheckPause)
+		}
+		h.now = h.now.Add(time.Millisecond)
+	}
+}
--- a/internal/jobs/tick.go
+++ b/internal/jobs/tick.go
@@ -130,14 +130,20 @@
 	}
 }
 
-// successorChecks is how often a target is asked, about every 100 ms, before the registration of a newer one on its VM counts.
-// It is a number of requests, not a time, since a process that was paused has asked for nothing meanwhile.
-const successorChecks = 5
+const (
+	// successorChecks is how often a target is asked before the registration of a newer one on its VM counts. It is a number
+	// of requests, not a time, since a process that was paused has asked for nothing meanwhile.
+	successorChecks = 5
+	// successorCheckPause is the shortest time between two of them: calls that come in a burst, after a pause, leave the target
+	// no time to answer.
+	successorCheckPause = 80 * time.Millisecond
+)
 
 // successor is the registration of a newer target on a target's VM.
 type successor struct {
 	incarnation int64
 	checks      int // how often the target was to be asked since
+	checkedAt   time.Time
 }
 
 // HandleSuccessor handles the registration of a newer target on the VM of a target, which this process first saw at a time.
@@ -152,6 +158,10 @@
 		t.successor = successor{incarnation: incarnation}
 		p.emit(Event{Kind: EventSuccessor, Target: id, Detail: fmt.Sprintf("incarnation %d is registered on its VM; asking the target", incarnation)})
 	}
+	if now.Sub(t.successor.checkedAt) < successorCheckPause && t.successor.checks <= successorChecks {
+		return true
+	}
+	t.successor.checkedAt = now
 	if t.successor.checks++; t.successor.checks <= successorChecks {
 		return true
 	}
