--- a/internal/lookup/directory.go
+++ b/internal/lookup/directory.go
@@ -51,11 +51,15 @@
 
 // Replace replaces all registrations by the newest ones of every target.
 func (d *Directory) Replace(records []plog.Record) {
+	entries := make([]decodedEntry, 0, len(records))
+	for _, r := range records {
+		entries = append(entries, d.decode(r))
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	seen := map[work.TargetID]bool{}
-	for _, r := range records {
-		if d.put(r) {
+	for i, r := range records {
+		if d.put(r, entries[i]) {
 			seen[work.TargetID(r.Key)] = true
 		}
 	}
@@ -68,13 +72,14 @@
 
 // Apply applies one later registration or removal.
 func (d *Directory) Apply(r plog.Record) {
+	e := d.decode(r) // without the lock, for which the owners of the pools wait
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.put(r)
+	d.put(r, e)
 }
 
 // put applies a record and reports whether it registers a target.
-func (d *Directory) put(r plog.Record) bool {
+func (d *Directory) put(r plog.Record, decoded decodedEntry) bool {
 	if d.entries == nil {
 		d.entries, d.unusable, d.newest = map[work.TargetID]*entry{}, map[string]bool{}, map[work.VMID]map[ident.PoolID]NewestTarget{}
 	}
@@ -85,11 +90,11 @@
 		}
 		return false
 	}
-	reg, err := d.decode(r)
-	if err != nil {
+	reg := decoded.reg
+	if decoded.err != nil {
 		if !d.unusable[r.Key] {
 			d.unusable[r.Key] = true
-			d.Logger.Warn("ignoring a registration that describes no usable target", "key", r.Key, "error", err)
+			d.Logger.Warn("ignoring a registration that describes no usable target", "key", r.Key, "error", decoded.err)
 		}
 		if e := d.entries[id]; e != nil {
 			d.remove(e)
@@ -104,17 +109,24 @@
 	return true
 }
 
-// decode decodes a record, and returns an error if that panics or the registration can't be right.
-func (d *Directory) decode(r plog.Record) (work.Registration, error) {
-	var reg work.Registration
-	var err error
-	if !panics.Catch(d.Logger, "registration", func() { reg, err = d.Decode(r.Key, r.Value) }) {
-		return reg, errors.New("the registration can't be decoded")
+// decodedEntry is the registration of a record with a value, or the error of its decoding.
+type decodedEntry struct {
+	reg work.Registration
+	err error
+}
+
+// decode decodes a record, with an error if that panics or the registration can't be right.
+func (d *Directory) decode(r plog.Record) (e decodedEntry) {
+	if len(r.Value) == 0 {
+		return e
+	}
+	if !panics.Catch(d.Logger, "registration", func() { e.reg, e.err = d.Decode(r.Key, r.Value) }) {
+		return decodedEntry{err: errors.New("the registration can't be decoded")}
 	}
-	if latest := d.Clock.Now().Add(maxIncarnationLead).UnixMilli(); err == nil && reg.Incarnation > latest {
-		err = errors.Newf("the target has started at %d ms, in the future", reg.Incarnation)
+	if latest := d.Clock.Now().Add(maxIncarnationLead).UnixMilli(); e.err == nil && e.reg.Incarnation > latest {
+		e.err = errors.Newf("the target has started at %d ms, in the future", e.reg.Incarnation)
 	}
-	return reg, err
+	return e
 }
 
 // noteNewest keeps the newest target of the registration's VM in its pool.
