--- a/internal/jobd/configuration.go
+++ b/internal/jobd/configuration.go
@@ -31,13 +31,13 @@
 	Clock      clock.Clock
 	Logger     hclog.Logger
 
-	current  atomic.Pointer[configSnapshot] // nil until a configuration has been read
-	watcher  *watch.Watcher
-	check    fresh.Check
-	outdated atomic.Bool // as last logged
-	mu       sync.Mutex  // held while a snapshot replaces another
-	nextAsk  time.Time   // when peers may be asked again
-	unread   bool        // the log has a version that can't be decoded, later than the one in force
+	current   atomic.Pointer[configSnapshot] // nil until a configuration has been read
+	watcher   *watch.Watcher
+	check     fresh.Check
+	outdated  atomic.Bool // as last logged
+	mu        sync.Mutex  // held while a snapshot replaces another
+	nextAsk   time.Time   // when peers may be asked again
+	undecoded bool        // the log has a version that can't be decoded, later than the one in force
 }
 
 // configSnapshot is the configuration in force at a moment. It is immutable, so that a decision by its table is not made
@@ -173,7 +173,7 @@
 func (c *configuration) confirm(at time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if s := c.snapshot(); s.table != nil && !c.unread && at.After(s.confirmedAt) {
+	if s := c.snapshot(); s.table != nil && !c.undecoded && at.After(s.confirmedAt) {
 		s.confirmedAt = at
 		c.current.Store(&s)
 	}
@@ -210,7 +210,7 @@
 		c.Logger.Error("cannot decode the configuration; the previous one stays in use", "version", c.version(), "source", from, "error", err)
 		if from == sourceLog {
 			c.mu.Lock()
-			c.unread = true
+			c.undecoded = true
 			c.mu.Unlock()
 		}
 		return
@@ -226,6 +226,6 @@
 		next.confirmedAt, unconfirmed = s.confirmedAt, c.ageOf(s)
 	}
 	c.current.Store(next)
-	c.unread = false
+	c.undecoded = false
 	c.Logger.Info("configuration applied", "version", config.Version, "routes", len(config.Routes), "pools", len(config.Pools), "source", from, "unconfirmed", unconfirmed)
 }
--- a/internal/jobd/configuration_test.go
+++ b/internal/jobd/configuration_test.go
@@ -111,8 +111,7 @@
 	}
 }
 
-// Guards against a process that the log turns away and that learns of a version late, because the few peers that it asks are
-// turned away as well.
+// Guards against a version that is in force late because the few peers that are asked don't reach the log either.
 func TestConfigurationIsReadFromTheFewPeersThatHaveIt(t *testing.T) {
 	refusing := &fakes.Log{BeforeCall: func(string, plog.TopicPartition) (bool, error) { return false, plog.ErrRefused }}
 	newer, older := newTestConfiguration(refusing), newTestConfiguration(refusing)
--- a/internal/jobd/owners_test.go
+++ b/internal/jobd/owners_test.go
@@ -60,8 +60,7 @@
 	return nil, plog.ErrRefused
 }
 
-// Guards against a daemon that knows no owner any more after the log has taken all partitions away for a moment, and then
-// asks nobody. It had no configuration newer than 6 s either, and served no client, until the log accepted its calls.
+// Guards against a daemon that asks nobody any more after the log has taken all partitions away for a moment.
 func TestOwnersAreReadFromFormerOwners(t *testing.T) {
 	part := plog.TopicPartition{Topic: "jobs", Partition: 2}
 	former := startPeer(t, ownerSnapshot{Entries: []ownerEntry{{Topic: part.Topic, Partition: part.Partition, Address: "current"}}})
--- a/internal/jobs/pool_test.go
+++ b/internal/jobs/pool_test.go
@@ -326,8 +326,7 @@
 	}
 }
 
-// Guards against a task that runs twice: its start was confirmed by a new incarnation of the target, and counted as lost with
-// the one before when a report that had been requested earlier showed the restart.
+// Guards against a task that runs twice because a start that a new incarnation has confirmed is lost with the one before.
 func TestStartConfirmedByNewIncarnationIsNotLost(t *testing.T) {
 	for _, test := range []struct {
 		name    string
--- a/internal/jobs/successor_test.go
+++ b/internal/jobs/successor_test.go
@@ -70,8 +70,7 @@
 	}
 }
 
-// Guards against a registration that counts before its target could answer, because an owner that was held up makes all checks
-// at once.
+// Guards against a registration that counts before its target could answer, because all checks are made at once.
 func TestChecksInABurstCountOnce(t *testing.T) {
 	h := newHarness(t, 1)
 	since := h.now.Add(time.Minute) // no answer follows
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -62,8 +62,7 @@
 	}
 }
 
-// Guards against a connection that has gone silent and stays in use, because each request on it times out before the
-// silence is noticed.
+// Guards against a silent connection that stays in use because each request times out before the silence is noticed.
 func TestShortRequestsReplaceSilentConnection(t *testing.T) {
 	relay, addr := startRelayedServer(t)
 	c := &Client{}
--- a/internal/shard/shard_test.go
+++ b/internal/shard/shard_test.go
@@ -72,8 +72,7 @@
 	}
 }
 
-// Guards against a VM that is taken down for its maintenance by the report of a previous owner, which doesn't know of the
-// tasks that run there.
+// Guards against a VM that is taken down by the report of a previous owner, which doesn't know of the tasks there.
 func TestPreviousOwnerReportsNoPool(t *testing.T) {
 	var confirmed atomic.Int64
 	s := startConfirmedShard(t, &fakes.Log{}, 1, func() time.Time { return time.Unix(0, confirmed.Load()) })
