jobd, link: two new tests don't fail by pauses of the machine

The first test now has a bound of 8 s, which all times of the code under test are shares of; the second counts requests instead of time: three of 250 ms. Both still fail without their fixes.

--- a/internal/jobd/configuration_test.go
+++ b/internal/jobd/configuration_test.go
@@ -17,8 +17,12 @@
 
 const testConfigKey = "config"
 
-// newTestConfiguration returns a configuration on a log whose values are version numbers.
+// newTestConfiguration returns a configuration on a log whose values are version numbers, with a bound of two seconds.
 func newTestConfiguration(log plog.Log) *configuration {
+	return newTestConfigurationWithin(log, 2*time.Second)
+}
+
+func newTestConfigurationWithin(log plog.Log, bound time.Duration) *configuration {
 	c := &configuration{
 		Platform: &Platform{
 			Log: log, OperatorPartition: plog.TopicPartition{Topic: "op"}, ConfigKey: testConfigKey, IsWaveKey: func(string) bool { return false },
@@ -30,7 +34,7 @@
 				return &work.Config{Version: version, Routes: []work.Route{{Host: "h", Prefix: "/queue/"}}}, err
 			},
 		},
-		ApplyWithin: 2 * time.Second, SomePeers: func(int) []string { return nil }, PeerClient: &link.Client{}, Clock: clock.System(), Logger: hclog.NewNullLogger(),
+		ApplyWithin: bound, SomePeers: func(int) []string { return nil }, PeerClient: &link.Client{}, Clock: clock.System(), Logger: hclog.NewNullLogger(),
 	}
 	c.init()
 	return c
@@ -124,7 +128,7 @@
 	}
 	peers = append(peers, startPeer(t, newer.reply(configQuery{Version: 2})))
 
-	c := newTestConfiguration(refusing)
+	c := newTestConfigurationWithin(refusing, 8*time.Second) // long beside the pauses of a busy machine
 	c.SomePeers = func(n int) []string { return peers[:min(n, len(peers))] }
 	c.apply(configRecord("2"))
 	c.confirm(time.Now())
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -77,10 +77,10 @@
 	}
 	time.Sleep(silenceTimeout) // a connection that was made a moment ago is kept
 	relay.SetMode(fakes.RelayDropExisting)
-	begin := time.Now()
-	for call() != nil {
-		if got := time.Since(begin); got > silenceTimeout {
-			t.Fatalf("no response %v after the connection went silent, want one on a new connection within %v", got, silenceTimeout)
+	const maxFailures = int(silenceTimeout / pingPeriod)
+	for n := 0; call() != nil; n++ {
+		if n == maxFailures {
+			t.Fatalf("%d requests of %v without a response since the connection went silent, want one on a new connection after %d at most", n+1, pingPeriod, maxFailures)
 		}
 	}
 }
