--- a/internal/jobd/service.go
+++ b/internal/jobd/service.go
@@ -306,6 +306,12 @@
 	return work.Queue{}, "", ErrNoQueue
 }
 
+// NoteDenial logs that a request was denied, with the version in force and the time since it was known to be the newest.
+func (s *Service) NoteDenial(method, host, path string, status int) {
+	config := s.Config.snapshot()
+	s.Logger.Info("request denied", "method", method, "host", host, "path", path, "status", status, "version", config.version(), "unconfirmed", s.Config.ageOf(config))
+}
+
 // Queue returns the id of the queue that the host and path of a request select, and the rest of the path.
 func (s *Service) Queue(ctx context.Context, host, path string) (work.QueueID, string, error) {
 	q, rest, err := s.findQueue(ctx, host, path)
