--- a/internal/fakes/log.go
+++ b/internal/fakes/log.go
@@ -110,6 +110,22 @@
 	return injected
 }
 
+// Truncate removes the records of a partition from an offset on, as a log does that is restored from an older copy.
+func (l *Log) Truncate(p plog.TopicPartition, end ident.Offset) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	x := l.partition(p)
+	x.records = x.records[:end:end]
+	x.newest = map[string][]byte{}
+	for _, r := range x.records {
+		if len(r.Value) == 0 {
+			delete(x.newest, r.Key)
+		} else {
+			x.newest[r.Key] = r.Value
+		}
+	}
+}
+
 // Newest implements plog.Log.
 func (l *Log) Newest(_ context.Context, from plog.TopicPartition, after string) (plog.Page, error) {
 	if apply, err := l.runHook("newest", from); !apply || err != nil {
@@ -150,12 +166,12 @@
 			l.mu.Unlock()
 			return b, nil
 		}
-		changed := p.changed
+		changed, end := p.changed, ident.Offset(len(p.records))
 		l.mu.Unlock()
 		select {
 		case <-changed:
 		case <-ctx.Done():
-			return plog.Batch{Next: offset, End: offset}, nil
+			return plog.Batch{Next: offset, End: end}, nil
 		}
 	}
 }
--- a/internal/jobd/configuration_test.go
+++ b/internal/jobd/configuration_test.go
@@ -168,3 +168,27 @@
 		}
 	}
 }
+
+// Guards against a queue that is denied because a peer's version, older than the one of the log that can't be decoded, was
+// taken for the newest.
+func TestOlderVersionOfPeerHidesNoUndecodableOne(t *testing.T) {
+	log := &fakes.Log{}
+	c := newTestConfiguration(log)
+	put := func(version string) {
+		t.Helper()
+		if err := log.Append(t.Context(), c.Platform.OperatorPartition, plog.Writer{}, []plog.Record{configRecord(version)}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	put("1")
+	go c.Run(t.Context())
+	c.watcher.WaitSynced(t.Context())
+	put("undecodable")
+	time.Sleep(c.ApplyWithin / 20)
+	c.applyConfig([]byte("2"), sourcePeer)
+	time.Sleep(c.ApplyWithin / 2) // the watcher has read to the end of the log again
+	s := &Service{Config: c, Clock: clock.System(), Logger: hclog.NewNullLogger()}
+	if _, _, err := s.Queue(t.Context(), "h", "/other/1"); errors.Is(err, ErrNoQueue) {
+		t.Errorf("error %v: denied by version %d, want not known", err, c.version())
+	}
+}
--- a/internal/watch/watcher_test.go
+++ b/internal/watch/watcher_test.go
@@ -146,3 +146,33 @@
 		}
 	}
 }
+
+// Guards against a fact that counts as read although the record which states it was skipped.
+func TestSkippedRecordConfirmsNothing(t *testing.T) {
+	log, from := &fakes.Log{}, plog.TopicPartition{Topic: "x"}
+	var confirmed atomic.Int64
+	appended := make(chan struct{}, 1)
+	w := &Watcher{
+		Log: log, Partition: from, ApplyWithin: 200 * time.Millisecond, Clock: clock.System(), Logger: hclog.NewNullLogger(), Replace: func([]plog.Record) {
+			select {
+			case <-appended:
+				panic("malformed")
+			default:
+			}
+		},
+		Apply:   func(plog.Record) { panic("malformed") },
+		Confirm: func(sent time.Time) { confirmed.Store(sent.UnixNano()) },
+	}
+	go w.Run(t.Context())
+	w.WaitSynced(t.Context())
+	time.Sleep(w.ApplyWithin)
+	appended <- struct{}{}
+	if err := log.Append(t.Context(), from, plog.Writer{}, []plog.Record{{Key: "a", Value: []byte("1")}}); err != nil {
+		t.Fatal(err)
+	}
+	end := time.Now()
+	time.Sleep(w.ApplyWithin / 2)
+	if got := time.Unix(0, confirmed.Load()); got.After(end) {
+		t.Errorf("a read that was sent %v after the record was appended has confirmed what it says, although it was skipped", got.Sub(end))
+	}
+}
