watch, jobd: a read confirms only what it has shown

Callers got 404 for queues that were there, for good in the worst case. The configuration keeps the offset of the newest version that the log has shown instead of a flag: a read confirms only that version, and a peer's word counts only if it is later than the record that can't be read here.

--- a/internal/jobd/configuration.go
+++ b/internal/jobd/configuration.go
@@ -17,6 +17,7 @@
 	"github.com/toucanhatch/toucanhatch/internal/route"
 	"github.com/toucanhatch/toucanhatch/internal/watch"
 	"github.com/toucanhatch/toucanhatch/internal/work"
+	"github.com/toucanhatch/toucanhatch/pkg/ident"
 )
 
 // configuration follows what the operators publish: the configuration and the waves. Call init before the first use.
@@ -37,7 +38,14 @@
 	outdated  atomic.Bool // as last logged
 	mu        sync.Mutex  // held while a snapshot replaces another
 	nextAsk   time.Time   // when peers may be asked again
-	undecoded bool        // the log has a version that can't be decoded, later than the one in force
+	published logVersion
+}
+
+// logVersion is the newest version that has been read from the log.
+type logVersion struct {
+	offset  ident.Offset // of its record, or of a later one
+	version int64        // 0 if none could be read
+	readAt  time.Time    // when its record had been read
 }
 
 // configSnapshot is the configuration in force at a moment. It is immutable, so that a decision by its table is not made
@@ -76,12 +84,7 @@
 func (c *configuration) init() {
 	c.watcher = &watch.Watcher{
 		Log: c.Platform.Log, Partition: c.Platform.OperatorPartition, ApplyWithin: c.ApplyWithin, Clock: c.Clock, Logger: c.Logger,
-		Replace: func(records []plog.Record) {
-			for _, r := range records {
-				c.apply(r)
-			}
-		},
-		Apply: c.apply, Confirm: c.confirm,
+		Replace: c.replace, Apply: c.apply, Confirm: c.confirm,
 	}
 	c.check = fresh.Check{
 		ConfirmedAt: func() time.Time { return c.snapshot().confirmedAt }, Read: c.readNewer, MaxAge: c.ApplyWithin / denialsWithinTarget,
@@ -142,9 +145,9 @@
 		if b, err = c.Platform.Log.Read(ctx, c.Platform.OperatorPartition, c.watcher.Offset(), 0); err != nil {
 			return
 		}
-		for _, r := range b.Records {
-			if r.Key == c.Platform.ConfigKey {
-				c.apply(r)
+		for i, r := range b.Records {
+			if !c.Platform.IsWaveKey(r.Key) {
+				c.apply(b.Next-ident.Offset(len(b.Records)-i), r)
 			}
 		}
 		if !b.Complete() {
@@ -169,63 +172,115 @@
 	}
 }
 
-// confirm notes that no version newer than the one in force existed at a time.
-func (c *configuration) confirm(at time.Time) {
+// confirm notes that a read of the log, sent at a time, has shown all versions. It shows nothing while the newest of them
+// can't be read, or is older than the version in force: the log then lacks versions that it had.
+func (c *configuration) confirm(sent time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if s := c.snapshot(); s.table != nil && c.published.version == s.version() {
+		c.confirmSnapshot(s, sent)
+	}
+}
+
+// confirmByPeer notes that a version was the newest at a time, as another daemon says. It shows nothing if the log had a
+// version before then that can't be read here, or if another version is in force.
+func (c *configuration) confirmByPeer(version int64, at time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if s := c.snapshot(); s.table != nil && !c.undecoded && at.After(s.confirmedAt) {
+	unread := c.published.version == 0 && !c.published.readAt.IsZero()
+	if s := c.snapshot(); s.table != nil && s.version() == version && (!unread || at.After(c.published.readAt)) {
+		c.confirmSnapshot(s, at)
+	}
+}
+
+// confirmSnapshot moves the time of the snapshot in force. The caller holds c.mu.
+func (c *configuration) confirmSnapshot(s configSnapshot, at time.Time) {
+	if at.After(s.confirmedAt) {
 		s.confirmedAt = at
 		c.current.Store(&s)
 	}
 }
 
-// apply puts a record of the operators in force.
-func (c *configuration) apply(r plog.Record) {
-	switch {
-	case len(r.Value) == 0:
-	case c.Platform.IsWaveKey(r.Key):
-		w, err := c.Platform.DecodeWave(r.Value)
-		if err != nil {
-			c.Logger.Error("cannot decode a wave", "key", r.Key, "error", err)
-			return
+// replace processes the newest records of all keys.
+func (c *configuration) replace(end ident.Offset, records []plog.Record) {
+	published := logVersion{offset: end, readAt: c.Clock.Now()}
+	for _, r := range records {
+		if r.Key == c.Platform.ConfigKey && len(r.Value) > 0 {
+			published.version = c.applyConfig(r.Value, sourceLog)
+		} else {
+			c.applyWave(r)
 		}
-		c.SetWave(w)
-	case r.Key == c.Platform.ConfigKey:
-		c.applyConfig(r.Value, sourceLog)
 	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.published.version == 0 && end <= c.published.offset {
+		return // another read was faster, and has found a record that can't be read
+	}
+	c.published = published
+}
+
+// apply processes a record that was appended at an offset.
+func (c *configuration) apply(at ident.Offset, r plog.Record) {
+	published := logVersion{offset: at, readAt: c.Clock.Now()}
+	switch {
+	case !r.Readable():
+	case r.Key == c.Platform.ConfigKey && len(r.Value) > 0:
+		published.version = c.applyConfig(r.Value, sourceLog)
+	default:
+		c.applyWave(r)
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if at >= c.published.offset { // another read may have been faster
+		c.published = published
+	}
+}
+
+// applyWave passes a wave of the operators on.
+func (c *configuration) applyWave(r plog.Record) {
+	if len(r.Value) == 0 || !c.Platform.IsWaveKey(r.Key) {
+		return
+	}
+	w, err := c.Platform.DecodeWave(r.Value)
+	if err != nil {
+		c.Logger.Error("cannot decode a wave", "key", r.Key, "error", err)
+		return
+	}
+	c.SetWave(w)
 }
 
 // decode decodes a configuration, and returns an error if that panics.
-func (c *configuration) decode(value []byte) (*work.Config, error) {
-	var config *work.Config
-	err := errDecodePanicked
-	panics.Catch(c.Logger, "configuration", func() { config, err = c.Platform.DecodeConfig(value) })
-	return config, err
+func (c *configuration) decode(value []byte) (next *configSnapshot, err error) {
+	err = errDecodePanicked
+	panics.Catch(c.Logger, "configuration", func() {
+		var config *work.Config
+		if config, err = c.Platform.DecodeConfig(value); err == nil {
+			next = &configSnapshot{table: route.New(config), encoded: value}
+		}
+	})
+	return next, err
 }
 
-// applyConfig puts an encoded configuration in force, unless a newer one is.
-func (c *configuration) applyConfig(value []byte, from configSource) {
-	config, err := c.decode(value)
+// applyConfig puts an encoded configuration in force, unless a newer one is. It returns its version, 0 if it can't be
+// decoded.
+func (c *configuration) applyConfig(value []byte, from configSource) int64 {
+	next, err := c.decode(value)
 	if err != nil {
 		c.Logger.Error("cannot decode the configuration; the previous one stays in use", "version", c.version(), "source", from, "error", err)
-		if from == sourceLog {
-			c.mu.Lock()
-			c.undecoded = true
-			c.mu.Unlock()
-		}
-		return
+		return 0
 	}
-	next := &configSnapshot{table: route.New(config), encoded: value}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	version := next.version()
 	var unconfirmed time.Duration
 	if s := c.snapshot(); s.table != nil {
-		if config.Version <= s.version() {
-			return
+		if version <= s.version() {
+			return version
 		}
 		next.confirmedAt, unconfirmed = s.confirmedAt, c.ageOf(s)
 	}
 	c.current.Store(next)
-	c.undecoded = false
-	c.Logger.Info("configuration applied", "version", config.Version, "routes", len(config.Routes), "pools", len(config.Pools), "source", from, "unconfirmed", unconfirmed)
+	c.Logger.Info("configuration applied", "version", version, "routes", len(next.table.Queues), "pools", len(next.table.Pools), "source", from, "unconfirmed", unconfirmed)
+	return version
 }
--- a/internal/jobd/configuration_test.go
+++ b/internal/jobd/configuration_test.go
@@ -54,8 +54,8 @@
 	}
 	go current.Run(t.Context())
 	current.watcher.WaitSynced(t.Context())
-	behind.apply(configRecord("0"))
-	outdated.apply(configRecord("1"))
+	behind.apply(0, configRecord("0"))
+	outdated.apply(0, configRecord("1"))
 
 	for _, test := range []struct {
 		name   string
@@ -91,14 +91,14 @@
 func TestConfigurationIsReadFromPeers(t *testing.T) {
 	refusing := &fakes.Log{BeforeCall: func(string, plog.TopicPartition) (bool, error) { return false, plog.ErrRefused }}
 	newer, older := newTestConfiguration(refusing), newTestConfiguration(refusing)
-	newer.apply(configRecord("3"))
+	newer.apply(0, configRecord("3"))
 	newer.confirm(time.Now())
-	older.apply(configRecord("1"))
+	older.apply(0, configRecord("1"))
 	peers := []string{startPeer(t, newer.reply(configQuery{Version: 2})), startPeer(t, older.reply(configQuery{Version: 2}))}
 
 	c := newTestConfiguration(refusing)
 	c.SomePeers = func(int) []string { return peers }
-	c.apply(configRecord("2"))
+	c.apply(0, configRecord("2"))
 	go c.Run(t.Context())
 	for end := time.Now().Add(c.ApplyWithin); c.version() != 3; time.Sleep(10 * time.Millisecond) {
 		if time.Now().After(end) {
@@ -119,9 +119,9 @@
 func TestConfigurationIsReadFromTheFewPeersThatHaveIt(t *testing.T) {
 	refusing := &fakes.Log{BeforeCall: func(string, plog.TopicPartition) (bool, error) { return false, plog.ErrRefused }}
 	newer, older := newTestConfiguration(refusing), newTestConfiguration(refusing)
-	newer.apply(configRecord("3"))
+	newer.apply(0, configRecord("3"))
 	newer.confirm(time.Now())
-	older.apply(configRecord("2"))
+	older.apply(0, configRecord("2"))
 	var peers []string
 	for range 9 {
 		peers = append(peers, startPeer(t, older.reply(configQuery{Version: 2})))
@@ -130,7 +130,7 @@
 
 	c := newTestConfigurationWithin(refusing, 8*time.Second) // long beside the pauses of a busy machine
 	c.SomePeers = func(n int) []string { return peers[:min(n, len(peers))] }
-	c.apply(configRecord("2"))
+	c.apply(0, configRecord("2"))
 	c.confirm(time.Now())
 	confirmed := time.Now()
 	go c.Run(t.Context())
--- a/internal/jobd/confpeers.go
+++ b/internal/jobd/confpeers.go
@@ -78,9 +78,7 @@
 				c.Logger.Info("a peer has a newer configuration", "peer", addr, "version", r.Version, "unconfirmed", r.Age)
 				c.applyConfig(r.Encoded, sourcePeer)
 			}
-			if c.version() >= r.Version {
-				c.confirm(sent.Add(-r.Age))
-			}
+			c.confirmByPeer(r.Version, sent.Add(-r.Age))
 		})
 	}
 	wg.Wait()
--- a/internal/jobd/daemon.go
+++ b/internal/jobd/daemon.go
@@ -27,6 +27,7 @@
 	"github.com/toucanhatch/toucanhatch/internal/shard"
 	"github.com/toucanhatch/toucanhatch/internal/watch"
 	"github.com/toucanhatch/toucanhatch/internal/work"
+	"github.com/toucanhatch/toucanhatch/pkg/ident"
 )
 
 // Platform holds what the daemon needs from the platform; package platform provides it.
@@ -265,7 +266,8 @@
 func (d *Daemon) newTargetWatcher() *watch.Watcher {
 	w := &watch.Watcher{
 		Log: d.Platform.Log, Partition: d.Platform.TargetsPartition, ApplyWithin: d.Settings.Bounds.drain(), ReadPause: targetsReadPause, Enabled: d.member.OwnsAny,
-		Replace: d.directory.Replace, Apply: d.directory.Apply, Clock: d.Clock, Logger: d.Logger,
+		Replace: func(_ ident.Offset, records []plog.Record) { d.directory.Replace(records) },
+		Apply:   func(_ ident.Offset, r plog.Record) { d.directory.Apply(r) }, Clock: d.Clock, Logger: d.Logger,
 	}
 	w.Init()
 	return w
--- a/internal/plog/plog.go
+++ b/internal/plog/plog.go
@@ -52,6 +52,7 @@
 type Page struct {
 	Records []Record
 	More    bool         // there are further pages, after the last key of this one
+	Partial bool         // there are further records, which can't be asked for
 	End     ident.Offset // end of the partition when the page was read
 }
 
@@ -62,8 +63,12 @@
 	End     ident.Offset // of the partition when it was read
 }
 
-// Complete reports whether the batch reaches the end of the partition. The log limits the size of a batch.
-func (b *Batch) Complete() bool { return b.Next >= b.End }
+// Complete reports whether the batch reaches the end of the partition. The log limits the size of a batch. A partition that
+// ends before the batch has lost records, and others may take their offsets.
+func (b *Batch) Complete() bool { return b.Next == b.End }
+
+// Readable reports whether the key of the record could be read.
+func (r *Record) Readable() bool { return r.Key != "" }
 
 // Assignment lists the partitions that a group has assigned to one member.
 type Assignment struct {
--- a/internal/watch/watcher.go
+++ b/internal/watch/watcher.go
@@ -39,17 +39,20 @@
 	ReadPause time.Duration
 	// Enabled, if set, reports whether to read at present.
 	Enabled func() bool
-	// Replace receives the newest records of all keys, and Apply each later record.
-	Replace func(records []plog.Record)
-	Apply   func(r plog.Record)
-	// Confirm, if set, is called with the time at which a read was sent, once its records have been processed: with them,
-	// all that the log had confirmed to its writers before then.
+	// Replace receives the newest records of all keys, and Apply each later record with its offset. The offset of Replace is
+	// that of the end of the partition at a time when it had no newer records of their keys.
+	Replace func(end ident.Offset, records []plog.Record)
+	Apply   func(at ident.Offset, r plog.Record)
+	// Confirm, if set, is called with the time at which a read was sent, once all its records have been processed: with
+	// them, all that the log had confirmed to its writers before then. After a record that can't be read, or whose
+	// processing panics, the newest records of all keys are read first.
 	Confirm func(sent time.Time)
 	Clock   clock.Clock
 	Logger  hclog.Logger
 
 	offset      atomic.Int64 // of the next record; those before it have been processed
 	synced      atomic.Bool
+	conclusive  bool      // all of the newest records could be read and processed
 	confirmedAt time.Time // when the latest read with an answer was sent
 	failing     atomic.Bool
 	wake        chan struct{}
@@ -120,8 +123,9 @@
 // batch is the result of one read.
 type batch struct {
 	plog.Batch
-	sent   time.Time
-	newest bool // the records are the newest of all keys, rather than those appended since the last read
+	sent    time.Time
+	newest  bool // the records are the newest of all keys, rather than those appended since the last read
+	partial bool // there are more of them, which can't be asked for
 }
 
 // readOnce reads the newest records if the watcher is not synced, and otherwise the records appended since the last read.
@@ -175,26 +179,43 @@
 }
 
 func (w *Watcher) process(b batch) {
-	if b.newest {
-		w.Replace(b.Records)
-	} else {
-		for _, r := range b.Records {
-			panics.Catch(w.Logger.With("key", r.Key), "record of "+string(w.Partition.Topic), func() { w.Apply(r) })
-		}
-	}
+	conclusive := w.processRecords(b)
 	w.offset.Store(int64(b.Next))
-	if !b.Complete() {
-		w.Logger.Info("a read has returned a part of the records; reading the newest records of all keys", "topic", w.Partition.Topic, "next", b.Next, "end", b.End)
+	switch {
+	case !b.Complete():
+		w.Logger.Info("a read has not ended at the end of the partition; reading the newest records of all keys", "topic", w.Partition.Topic, "next", b.Next, "end", b.End)
+		w.synced.Store(false)
+		return
+	case b.newest:
+		w.conclusive = conclusive
+	case w.Confirm != nil && (!conclusive || !w.conclusive && len(b.Records) > 0):
+		w.Logger.Warn("a record can't be read; reading the newest records of all keys", "topic", w.Partition.Topic, "next", b.Next)
 		w.synced.Store(false)
 		return
 	}
 	w.confirmedAt = b.sent
-	if w.Confirm != nil {
+	if w.conclusive && w.Confirm != nil {
 		w.Confirm(b.sent)
 	}
 	w.synced.Store(true)
 }
 
+// processRecords passes the records on, and reports whether all of them could be read and processed.
+func (w *Watcher) processRecords(b batch) (all bool) {
+	part := "record of " + string(w.Partition.Topic)
+	if b.newest {
+		return panics.Catch(w.Logger, part, func() { w.Replace(b.End, b.Records) }) && !b.partial
+	}
+	all = true
+	for i := range b.Records {
+		r, at := b.Records[i], b.Next-ident.Offset(len(b.Records)-i)
+		if !panics.Catch(w.Logger.With("key", r.Key), part, func() { w.Apply(at, r) }) || !r.Readable() {
+			all = false
+		}
+	}
+	return all
+}
+
 // readAppended reads the records from an offset on, and waits for the first one up to wait.
 func (w *Watcher) readAppended(ctx context.Context, offset ident.Offset, wait time.Duration) (batch, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+answerTimeout)
@@ -220,6 +241,7 @@
 			b.Next, b.End = page.End, page.End
 		}
 		b.Records = append(b.Records, page.Records...)
+		b.partial = b.partial || page.Partial
 		if !page.More || len(page.Records) == 0 {
 			return b, nil
 		}
--- a/internal/watch/watcher_test.go
+++ b/internal/watch/watcher_test.go
@@ -22,8 +22,8 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
 	w := &Watcher{
-		Log: log, Partition: from, ApplyWithin: 2 * time.Second, Clock: clock.System(), Logger: hclog.NewNullLogger(), Replace: func([]plog.Record) {},
-		Apply: func(r plog.Record) {
+		Log: log, Partition: from, ApplyWithin: 2 * time.Second, Clock: clock.System(), Logger: hclog.NewNullLogger(), Replace: func(ident.Offset, []plog.Record) {},
+		Apply: func(_ ident.Offset, r plog.Record) {
 			if r.Key == "bad" {
 				panic("a malformed record")
 			}
@@ -68,8 +68,8 @@
 	log, from := &silentConnectionLog{}, plog.TopicPartition{Topic: "op"}
 	applied := make(chan string, 1)
 	w := &Watcher{
-		Log: log, Partition: from, ApplyWithin: target, Clock: clock.System(), Logger: hclog.NewNullLogger(), Replace: func([]plog.Record) {},
-		Apply: func(r plog.Record) { applied <- r.Key },
+		Log: log, Partition: from, ApplyWithin: target, Clock: clock.System(), Logger: hclog.NewNullLogger(), Replace: func(ident.Offset, []plog.Record) {},
+		Apply: func(_ ident.Offset, r plog.Record) { applied <- r.Key },
 	}
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
@@ -123,12 +123,12 @@
 	defer cancel()
 	w := &Watcher{
 		Log: log, Partition: from, ApplyWithin: 2 * time.Second, Clock: clock.System(), Logger: hclog.NewNullLogger(),
-		Replace: func(records []plog.Record) {
+		Replace: func(_ ident.Offset, records []plog.Record) {
 			for _, r := range records {
 				got <- r.Key
 			}
 		},
-		Apply: func(r plog.Record) { got <- r.Key },
+		Apply: func(_ ident.Offset, r plog.Record) { got <- r.Key },
 	}
 	go w.Run(ctx)
 	w.WaitSynced(ctx)
@@ -153,14 +153,14 @@
 	var confirmed atomic.Int64
 	appended := make(chan struct{}, 1)
 	w := &Watcher{
-		Log: log, Partition: from, ApplyWithin: 200 * time.Millisecond, Clock: clock.System(), Logger: hclog.NewNullLogger(), Replace: func([]plog.Record) {
+		Log: log, Partition: from, ApplyWithin: 200 * time.Millisecond, Clock: clock.System(), Logger: hclog.NewNullLogger(), Replace: func(ident.Offset, []plog.Record) {
 			select {
 			case <-appended:
 				panic("malformed")
 			default:
 			}
 		},
-		Apply:   func(plog.Record) { panic("malformed") },
+		Apply:   func(ident.Offset, plog.Record) { panic("malformed") },
 		Confirm: func(sent time.Time) { confirmed.Store(sent.UnixNano()) },
 	}
 	go w.Run(t.Context())
