--- a/internal/fresh/fresh.go
+++ b/internal/fresh/fresh.go
@@ -14,8 +14,6 @@
 	ConfirmedAt func() time.Time
 	// Read reads what is newer than the copy from the source and, if it succeeds, moves ConfirmedAt to its start or later.
 	Read func(ctx context.Context) error
-	// MaxAge is how long before the call the copy must have been the newest. It limits the number of reads.
-	MaxAge time.Duration
 	// Timeout bounds a read.
 	Timeout time.Duration
 	// FailurePause is how long after a failed read no other is made, so that callers are not kept waiting for a source that
@@ -34,9 +32,9 @@
 // maxReads is how many reads a caller waits for: one may have begun too long before the call.
 const maxReads = 2
 
-// Newest reports whether the copy is known to have been the newest at most MaxAge before the call.
-func (c *Check) Newest(ctx context.Context) bool {
-	since := c.Clock.Now().Add(-c.MaxAge)
+// NewestSince reports whether the copy is known to have been the newest at a time or later. A time that is some way before
+// the call limits the number of reads.
+func (c *Check) NewestSince(ctx context.Context, since time.Time) bool {
 	for range maxReads {
 		if !c.ConfirmedAt().Before(since) {
 			return true
--- a/internal/fresh/fresh_test.go
+++ b/internal/fresh/fresh_test.go
@@ -20,6 +20,14 @@
 	took        time.Duration
 }
 
+// maxAge is how long before a call the copy must have been the newest.
+const maxAge = 50 * time.Millisecond
+
+// newest reports whether the copy was the newest at most maxAge ago.
+func (s *source) newest(ctx context.Context) bool {
+	return s.check.NewestSince(ctx, time.Now().Add(-maxAge))
+}
+
 func newSource() *source {
 	s := &source{}
 	s.check = Check{
@@ -38,7 +46,7 @@
 			s.confirmedAt.Store(sent.UnixNano())
 			return nil
 		},
-		MaxAge: 50 * time.Millisecond, Timeout: 100 * time.Millisecond, FailurePause: 200 * time.Millisecond, Clock: clock.System(),
+		Timeout: 100 * time.Millisecond, FailurePause: 200 * time.Millisecond, Clock: clock.System(),
 	}
 	return s
 }
@@ -63,7 +71,7 @@
 			s.took = test.took
 			s.fail.Store(test.fail)
 			s.confirmedAt.Store(time.Now().Add(-test.age).UnixNano())
-			if got := s.check.Newest(t.Context()); got != test.want {
+			if got := s.newest(t.Context()); got != test.want {
 				t.Errorf("newest %v, want %v", got, test.want)
 			}
 			if got := s.reads.Load(); got != test.wantReads {
@@ -76,22 +84,22 @@
 // Guards against a read for each of many callers, and against a caller that accepts a read which began too long ago.
 func TestCallersShareReads(t *testing.T) {
 	s := newSource()
-	s.took = 80 * time.Millisecond // longer than MaxAge
+	s.took = 80 * time.Millisecond // longer than maxAge
 	var wg sync.WaitGroup
 	var denied atomic.Int32
 	for range 100 {
 		wg.Go(func() {
-			if !s.check.Newest(t.Context()) {
+			if !s.newest(t.Context()) {
 				denied.Add(1)
 			}
 		})
 	}
 	time.Sleep(65 * time.Millisecond)
 	late := time.Now()
-	if !s.check.Newest(t.Context()) {
+	if !s.newest(t.Context()) {
 		t.Error("a caller during the first read: not the newest, want the newest by a second read")
 	}
-	if got, want := s.check.ConfirmedAt(), late.Add(-s.check.MaxAge); got.Before(want) {
+	if got, want := s.check.ConfirmedAt(), late.Add(-maxAge); got.Before(want) {
 		t.Errorf("confirmed at %v, want at %v or later", got, want)
 	}
 	wg.Wait()
@@ -104,12 +112,12 @@
 func TestFailureIsReportedAtOnce(t *testing.T) {
 	s := newSource()
 	s.took = time.Minute
-	if s.check.Newest(t.Context()) {
+	if s.newest(t.Context()) {
 		t.Fatal("newest, want not known")
 	}
 	begin := time.Now()
 	for range 100 {
-		if s.check.Newest(t.Context()) {
+		if s.newest(t.Context()) {
 			t.Fatal("newest, want not known")
 		}
 	}
@@ -118,7 +126,7 @@
 	}
 	s.took = 0
 	time.Sleep(s.check.FailurePause)
-	if !s.check.Newest(t.Context()) {
+	if !s.newest(t.Context()) {
 		t.Error("the source answers again: not the newest, want the newest")
 	}
 }
--- a/internal/jobd/configuration.go
+++ b/internal/jobd/configuration.go
@@ -39,6 +39,7 @@
 	mu        sync.Mutex  // held while a snapshot replaces another
 	nextAsk   time.Time   // when peers may be asked again
 	published logVersion
+	announced atomic.Int64 // newest version that another daemon has named
 }
 
 // logVersion is the newest version that has been read from the log.
@@ -87,7 +88,7 @@
 		Replace: c.replace, Apply: c.apply, Confirm: c.confirm,
 	}
 	c.check = fresh.Check{
-		ConfirmedAt: func() time.Time { return c.snapshot().confirmedAt }, Read: c.readNewer, MaxAge: c.ApplyWithin / denialsWithinTarget,
+		ConfirmedAt: c.confirmedAt, Read: c.readNewer,
 		Timeout: c.ApplyWithin / readTimeoutsWithinTarget, FailurePause: c.ApplyWithin / failurePausesWithinTarget, Clock: c.Clock,
 	}
 }
@@ -136,6 +137,38 @@
 	return c.Clock.Now().Sub(s.confirmedAt)
 }
 
+// MaxDenialAge returns how long before a request the configuration must have been the newest to deny it.
+func (c *configuration) MaxDenialAge() time.Duration { return c.ApplyWithin / denialsWithinTarget }
+
+// newestSince reports whether the configuration in force was the newest at a time or later, after a read if need be.
+func (c *configuration) newestSince(ctx context.Context, t time.Time) bool {
+	return c.check.NewestSince(ctx, t)
+}
+
+// noteVersion notes that another daemon has a version in force.
+func (c *configuration) noteVersion(version int64) {
+	for known := c.announced.Load(); version > known; known = c.announced.Load() {
+		if c.announced.CompareAndSwap(known, version) {
+			if own := c.version(); version > own {
+				c.Logger.Info("another daemon has a newer configuration", "version", own, "newer", version)
+			}
+			return
+		}
+	}
+}
+
+// outrun reports whether another daemon has named a version that is newer than the one in force.
+func (c *configuration) outrun() bool { return c.announced.Load() > c.version() }
+
+// confirmedAt returns the latest time at which the configuration in force was the newest, the zero time if it is known not
+// to be the newest any more.
+func (c *configuration) confirmedAt() time.Time {
+	if c.outrun() {
+		return time.Time{}
+	}
+	return c.snapshot().confirmedAt
+}
+
 // readNewer reads the versions that the log has beyond the one in force, apart from the watcher, which waits for them.
 func (c *configuration) readNewer(ctx context.Context) error {
 	err := errReadPanicked
--- a/internal/jobd/configuration_test.go
+++ b/internal/jobd/configuration_test.go
@@ -1,6 +1,8 @@
 package jobd
 
 import (
+	"context"
+	"net/http"
 	"strconv"
 	"testing"
 	"time"
@@ -40,6 +42,20 @@
 	return c
 }
 
+// deny decides a request for a queue that doesn't exist, anew while the decision is superseded. It returns nil if the
+// request is denied.
+func deny(ctx context.Context, s *Service, path string) (found bool, err error) {
+	for {
+		d, err := s.Decide("h", path)
+		if err != nil || d.Found() {
+			return err == nil, err
+		}
+		if err = d.Deny(ctx, http.StatusNotFound); !errors.Is(err, ErrSuperseded) {
+			return false, err
+		}
+	}
+}
+
 func configRecord(version string) plog.Record {
 	return plog.Record{Key: testConfigKey, Value: []byte(version)}
 }
@@ -71,10 +87,10 @@
 		{"outdated, no queue", outdated, "/other/1", false, true},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			s := &Service{Config: test.config, Logger: hclog.NewNullLogger()}
-			_, _, err := s.Queue(t.Context(), "h", test.path)
+			s := &Service{Config: test.config, Clock: clock.System(), Logger: hclog.NewNullLogger()}
+			found, err := deny(t.Context(), s, test.path)
 			var notRun *NotRunError
-			if got := errors.Is(err, ErrNoQueue); got != test.denied {
+			if got := !found && err == nil; got != test.denied {
 				t.Errorf("error %v: denied %v, want %v", err, got, test.denied)
 			}
 			if got := errors.As(err, &notRun); got != test.notRun {
@@ -162,8 +178,8 @@
 	}{{"panic", false}, {"2", true}} {
 		put(test.version)
 		time.Sleep(c.ApplyWithin / 10)
-		_, _, err := s.Queue(t.Context(), "h", "/other/1")
-		if got := errors.Is(err, ErrNoQueue); got != test.denied {
+		_, err := deny(t.Context(), s, "/other/1")
+		if got := err == nil; got != test.denied {
 			t.Errorf("after version %q: error %v: denied %v, want %v", test.version, err, got, test.denied)
 		}
 	}
@@ -188,7 +204,7 @@
 	c.applyConfig([]byte("2"), sourcePeer)
 	time.Sleep(c.ApplyWithin / 2) // the watcher has read to the end of the log again
 	s := &Service{Config: c, Clock: clock.System(), Logger: hclog.NewNullLogger()}
-	if _, _, err := s.Queue(t.Context(), "h", "/other/1"); errors.Is(err, ErrNoQueue) {
+	if _, err := deny(t.Context(), s, "/other/1"); err == nil {
 		t.Errorf("error %v: denied by version %d, want not known", err, c.version())
 	}
 }
--- a/internal/jobd/confpeers.go
+++ b/internal/jobd/confpeers.go
@@ -30,14 +30,14 @@
 )
 
 // followPeers asks other daemons for the configuration if the log hasn't confirmed it for longer than a read takes, or
-// refuses reads. A round in which no peer had a recent one is followed by a longer pause: the log may be down for all.
+// refuses reads, or if another daemon has a newer one. A round in which no peer had a recent one is followed by a longer pause: the log may be down for all.
 func (c *configuration) followPeers(ctx context.Context) {
 	limit := c.ApplyWithin / 2
 	if c.watcher.Failing() {
 		limit = c.ApplyWithin / 4
 	}
 	begin := c.Clock.Now()
-	if c.Age() <= limit || begin.Before(c.nextAsk) {
+	if c.Age() <= limit && !c.outrun() || begin.Before(c.nextAsk) {
 		return
 	}
 	c.askPeers(ctx)
@@ -56,7 +56,7 @@
 		n = min(n, len(peers))
 		c.askGroup(ctx, peers[:n])
 		peers = peers[n:]
-		if c.Age() <= c.ApplyWithin/2 {
+		if c.Age() <= c.ApplyWithin/2 && !c.outrun() {
 			return
 		}
 	}
--- /dev/null
+++ b/internal/jobd/decision.go
@@ -0,0 +1,185 @@
+package jobd
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/toucanhatch/toucanhatch/internal/admit"
+	"github.com/toucanhatch/toucanhatch/internal/jobs"
+	"github.com/toucanhatch/toucanhatch/internal/shard"
+	"github.com/toucanhatch/toucanhatch/internal/work"
+)
+
+// Decision is what one version of the configuration makes of a client's request. Everything about the request is decided
+// by that version; a newer one takes a new decision.
+type Decision struct {
+	service *Service
+	config  configSnapshot
+	arrived time.Time
+	host    string
+	path    string
+	queue   work.Queue
+	rest    string
+	found   bool
+}
+
+// ErrSuperseded means that a newer version of the configuration is in force than that of the decision, which has had no
+// effect; the request is to be decided anew.
+var ErrSuperseded = errors.New("a newer version of the configuration is in force")
+
+// effectAgeWithinTarget is the part of ApplyWithin, in tenths, for which a configuration that isn't known to be the newest
+// any more still accepts and cancels jobs. The rest is a margin for clocks of different speeds.
+const effectAgeWithinTarget = 9
+
+// Decide selects the queue of a request by the configuration in force. The error is [ErrNoConfig] if there is none.
+func (s *Service) Decide(host, path string) (*Decision, error) {
+	d := &Decision{service: s, config: s.Config.snapshot(), arrived: s.Clock.Now(), host: host, path: path}
+	if d.config.table == nil {
+		return nil, ErrNoConfig
+	}
+	d.queue, d.rest, d.found = d.config.table.Find(host, path)
+	return d, nil
+}
+
+// Found reports whether the request selects a queue.
+func (d *Decision) Found() bool { return d.found }
+
+// Rest returns the part of the path after that of the queue, which names the job.
+func (d *Decision) Rest() string { return d.rest }
+
+// MaxBody returns the maximum size of a request body in bytes; 0 means that there is no limit.
+func (d *Decision) MaxBody() int64 { return d.config.table.MaxBody }
+
+// Deny returns nil if the client may be told that what the request asks for doesn't exist or isn't taken: the version of
+// the decision was the newest a moment before the request arrived. The error is [ErrSuperseded], or a [*NotRunError] if
+// whether there is a newer version is not known.
+func (d *Decision) Deny(ctx context.Context, status int) error {
+	s := d.service
+	err := d.confirm(ctx, s.Config.MaxDenialAge())
+	s.Logger.Info("denial", "host", d.host, "path", d.path, "queue", d.queue.ID, "status", status, "version", d.config.version(), "unconfirmed", s.Config.ageOf(d.config), "newest", s.Config.version(), "denied", err == nil)
+	return err
+}
+
+// confirm returns nil if the version of the decision was the newest at most maxAge before the request arrived.
+func (d *Decision) confirm(ctx context.Context, maxAge time.Duration) error {
+	c := d.service.Config
+	newest := c.newestSince(ctx, d.arrived.Add(-maxAge))
+	switch now := c.snapshot(); {
+	case now.version() != d.config.version():
+		return ErrSuperseded
+	case !newest:
+		return d.service.notRunError(response{})
+	}
+	d.config = c.snapshot() // the same version, confirmed later
+	return nil
+}
+
+// mayAct returns nil if the request may be carried out by the version of the decision, as [Decision.Deny] does.
+func (d *Decision) mayAct(ctx context.Context) error {
+	return d.confirm(ctx, d.service.Config.ApplyWithin*effectAgeWithinTarget/10)
+}
+
+// mayRead returns [ErrSuperseded] if a newer version is in force than that of the decision. A process that can't tell shows
+// jobs by the version that it has.
+func (d *Decision) mayRead(ctx context.Context) error {
+	if err := d.mayAct(ctx); errors.Is(err, ErrSuperseded) {
+		return err
+	}
+	return nil
+}
+
+// Submit submits a job. The error is nil if the job is stored, a [*work.SpecError] if it can't be stored, a
+// [*shard.RefusedError], a [*NotRunError] or [ErrSuperseded] if it is not stored and never will be, and
+// [ErrUnknownOutcome] if it may be stored.
+func (d *Decision) Submit(ctx context.Context, id work.JobID, spec *work.Spec) error {
+	s, q := d.service, d.queue
+	if err := jobs.CheckStorable(id, q, spec, s.MaxRecord); err != nil {
+		s.Logger.Info("submit", "job", id, "queue", q.ID, "pool", q.Pool, "outcome", outcomeInvalid, "version", d.config.version(), "error", err)
+		return err
+	}
+	if err := d.mayAct(ctx); err != nil {
+		s.Logger.Info("submit", "job", id, "queue", q.ID, "pool", q.Pool, "outcome", outcomeNotRun, "version", d.config.version(), "unconfirmed", s.Config.ageOf(d.config), "error", err)
+		return err
+	}
+	r, uncertain := s.callOwner(ctx, methodSubmit, d.request(id, spec))
+	var err error
+	switch {
+	case r.Outcome == outcomeOK:
+	case uncertain, r.Outcome == outcomeUndecoded: // an earlier attempt may still be stored, or is
+		err = ErrUnknownOutcome
+	case r.Outcome == outcomeInvalid:
+		err = &work.SpecError{Reason: shard.ErrInvalid.Error()}
+	case r.Outcome == outcomeRefused:
+		err = &shard.RefusedError{RetryAfter: r.RetryAfter}
+	default:
+		err = s.notRunError(r)
+	}
+	s.Logger.Info("submit", "job", id, "queue", q.ID, "pool", q.Pool, "outcome", r.Outcome, "unsure", uncertain, "retry_after", r.RetryAfter, "version", d.config.version())
+	return err
+}
+
+// Cancel cancels a job; found is false if there is no such job in the pool of the queue.
+func (d *Decision) Cancel(ctx context.Context, id work.JobID) (found bool, err error) {
+	s := d.service
+	if err := d.mayAct(ctx); err != nil {
+		s.Logger.Info("cancel", "job", id, "queue", d.queue.ID, "outcome", outcomeNotRun, "version", d.config.version(), "unconfirmed", s.Config.ageOf(d.config), "error", err)
+		return false, err
+	}
+	r, uncertain := s.callOwner(ctx, methodCancel, d.request(id, nil))
+	s.Logger.Info("cancel", "job", id, "queue", d.queue.ID, "outcome", r.Outcome, "unsure", uncertain, "version", d.config.version())
+	switch r.Outcome {
+	case outcomeOK:
+		return true, nil
+	case outcomeNoSuchJob:
+		return false, nil
+	default:
+		return false, ErrUnknownOutcome
+	}
+}
+
+// State returns the state of a job; found is false if there is no such job in the pool of the queue.
+func (d *Decision) State(ctx context.Context, id work.JobID) (state work.JobState, found bool, err error) {
+	if err := d.mayRead(ctx); err != nil {
+		return "", false, err
+	}
+	r, _ := d.service.callOwner(ctx, methodState, d.request(id, nil))
+	switch r.Outcome {
+	case outcomeOK:
+		return r.State, true, nil
+	case outcomeNoSuchJob:
+		return "", false, nil
+	default:
+		return "", false, d.service.notRunError(r)
+	}
+}
+
+// Pending returns how many jobs of the queue have not started.
+func (d *Decision) Pending(ctx context.Context) (int, error) {
+	if err := d.mayRead(ctx); err != nil {
+		return 0, err
+	}
+	r, _ := d.service.callOwner(ctx, methodPending, d.request("", nil))
+	if r.Outcome != outcomeOK {
+		return 0, d.service.notRunError(r)
+	}
+	return r.Pending, nil
+}
+
+// request returns the request to the owner of the queue's pool.
+func (d *Decision) request(id work.JobID, spec *work.Spec) request {
+	return request{Job: id, Queue: d.queue, Spec: spec, Version: d.config.version()}
+}
+
+// notRunError returns the error for a request that was not carried out, with the time after which to retry.
+func (s *Service) notRunError(r response) error {
+	switch {
+	case !s.Connected():
+		return &NotRunError{RetryAfter: admit.RetryElsewhere}
+	case r.Outcome == outcomeNotRun:
+		return &NotRunError{RetryAfter: r.RetryAfter}
+	default:
+		return &NotRunError{RetryAfter: admit.RetryAfterOutage(0)}
+	}
+}
--- /dev/null
+++ b/internal/jobd/decision_test.go
@@ -0,0 +1,92 @@
+package jobd
+
+import (
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/toucanhatch/toucanhatch/internal/clock"
+	"github.com/toucanhatch/toucanhatch/internal/fakes"
+	"github.com/toucanhatch/toucanhatch/internal/plog"
+	"github.com/toucanhatch/toucanhatch/internal/work"
+)
+
+// newRefusedService returns a service whose log refuses all calls, with version 1 confirmed just now.
+func newRefusedService() *Service {
+	c := newTestConfiguration(&fakes.Log{BeforeCall: func(string, plog.TopicPartition) (bool, error) { return false, plog.ErrRefused }})
+	c.apply(0, configRecord("1"))
+	c.confirm(time.Now())
+	return &Service{Config: c, Clock: clock.System(), Logger: hclog.NewNullLogger()}
+}
+
+// mustDecide returns the decision on a request.
+func mustDecide(t *testing.T, s *Service, path string) *Decision {
+	t.Helper()
+	d, err := s.Decide("h", path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return d
+}
+
+// Guards against a request of which one part is decided by one version and the rest by the next.
+func TestRequestIsDecidedByOneVersion(t *testing.T) {
+	s := newRefusedService()
+	d := mustDecide(t, s, "/queue/0000000000000001")
+	if err := d.mayAct(t.Context()); err != nil {
+		t.Fatalf("by the version in force: error %v, want none", err)
+	}
+	s.Config.apply(1, configRecord("2"))
+	s.Config.confirm(time.Now())
+	for name, err := range map[string]error{"a denial": d.Deny(t.Context(), 410), "an effect": d.mayAct(t.Context()), "a look-up": d.mayRead(t.Context())} {
+		if !errors.Is(err, ErrSuperseded) {
+			t.Errorf("%s by a version that has been replaced: error %v, want %v", name, err, ErrSuperseded)
+		}
+	}
+	if got, want := d.request("0000000000000001", &work.Spec{}).Version, int64(1); got != want {
+		t.Errorf("the owner is told version %d, want %d", got, want)
+	}
+}
+
+// Guards against a decision by a version that another daemon has shown to be older than the newest.
+func TestAnnouncedVersionOutrunsTheOneInForce(t *testing.T) {
+	s := newRefusedService()
+	if _, err := deny(t.Context(), s, "/other/1"); err != nil {
+		t.Fatalf("by the newest version: error %v, want a denial", err)
+	}
+	s.Config.noteVersion(2)
+	var notRun *NotRunError
+	if _, err := deny(t.Context(), s, "/other/1"); !errors.As(err, &notRun) {
+		t.Errorf("a denial: error %v, want not run", err)
+	}
+	if err := mustDecide(t, s, "/queue/1").mayAct(t.Context()); !errors.As(err, &notRun) {
+		t.Errorf("an effect: error %v, want not run", err)
+	}
+	if err := mustDecide(t, s, "/queue/1").mayRead(t.Context()); err != nil {
+		t.Errorf("a look-up: error %v, want none", err)
+	}
+	s.Config.apply(1, configRecord("2"))
+	s.Config.confirm(time.Now())
+	if _, err := deny(t.Context(), s, "/other/1"); err != nil {
+		t.Errorf("by the version that was announced: error %v, want a denial", err)
+	}
+}
+
+// Guards against a job that is accepted long after the configuration was known to be the newest.
+func TestEffectsNeedARecentConfiguration(t *testing.T) {
+	for _, test := range []struct {
+		age    time.Duration // in tenths of the bound
+		notRun bool
+	}{{5, false}, {8, false}, {10, true}} {
+		s := newRefusedService()
+		current := s.Config.snapshot()
+		current.confirmedAt = time.Now().Add(-test.age * s.Config.ApplyWithin / 10)
+		s.Config.current.Store(&current)
+		var notRun *NotRunError
+		if err := mustDecide(t, s, "/queue/1").mayAct(t.Context()); errors.As(err, &notRun) != test.notRun {
+			t.Errorf("%d tenths of the bound after its last confirmation: error %v, want not run: %v", test.age, err, test.notRun)
+		}
+	}
+}
--- a/internal/jobd/service.go
+++ b/internal/jobd/service.go
@@ -26,8 +26,6 @@
 var (
 	// ErrNoConfig means that the operators' configuration hasn't been read yet.
 	ErrNoConfig = errors.New("the configuration has not been read yet")
-	// ErrNoQueue means that no queue of the configuration matches the request.
-	ErrNoQueue = errors.New("there is no such queue")
 	// ErrUnknownOutcome means that the request may have been carried out; the client may send it again with the same job id.
 	ErrUnknownOutcome = errors.New("the outcome is not known")
 )
@@ -106,6 +104,7 @@
 	Queue      work.Queue       `cbor:"2,keyasint"`
 	Spec       *work.Spec       `cbor:"3,keyasint,omitempty"`
 	Directives *jobs.Directives `cbor:"4,keyasint,omitempty"` // for methodReport
+	Version    int64            `cbor:"5,keyasint,omitempty"` // of the configuration by which the request was decided
 }
 
 // response is the owner's response to a [request].
@@ -115,6 +114,7 @@
 	Pending    int           `cbor:"3,keyasint,omitempty"`
 	RetryAfter time.Duration `cbor:"4,keyasint,omitempty"`
 	Report     *sizer.Pool   `cbor:"5,keyasint,omitempty"`
+	Version    int64         `cbor:"6,keyasint,omitempty"` // of the configuration that the owner has in force
 }
 
 // HandlePeerRequest answers requests of other daemons.
@@ -135,7 +135,12 @@
 		s.Owners.RequestRefresh()
 		return nil, nil
 	}
-	return link.TypedHandler(func(ctx context.Context, req request) (response, error) { return s.handleAsOwner(ctx, m, req), nil })(ctx, body)
+	return link.TypedHandler(func(ctx context.Context, req request) (response, error) {
+		s.Config.noteVersion(req.Version)
+		r := s.handleAsOwner(ctx, m, req)
+		r.Version = s.Config.version()
+		return r, nil
+	})(ctx, body)
 }
 
 // handleAsOwner carries a request out in this daemon's shard for the pool, if it has one.
@@ -236,6 +241,7 @@
 	}
 	r, err := link.Call[response](ctx, s.PeerClient, addr, m, req)
 	if err == nil {
+		s.Config.noteVersion(r.Version)
 		return r
 	}
 	s.Logger.Info("the owner of the pool did not answer", "job", req.Job, "method", m, "owner", addr, "error", err)
@@ -282,135 +288,3 @@
 	}
 	s.waves[i] = w
 }
-
-// findQueue returns the queue that the host and path of a request select, and the rest of the path. That there is none is
-// said only by a configuration that was the newest a moment ago.
-func (s *Service) findQueue(ctx context.Context, host, path string) (work.Queue, string, error) {
-	previous := s.Config.snapshot()
-	if previous.table == nil {
-		return work.Queue{}, "", ErrNoConfig
-	}
-	if q, rest, ok := previous.table.Find(host, path); ok {
-		return q, rest, nil
-	}
-	newest := s.Config.check.Newest(ctx)
-	config := s.Config.snapshot()
-	if q, rest, ok := config.table.Find(host, path); ok {
-		s.Logger.Info("the queue of a request is new", "host", host, "path", path, "previous", previous.version(), "version", config.version())
-		return q, rest, nil
-	}
-	s.Logger.Info("no queue matches the request", "host", host, "path", path, "version", config.version(), "unconfirmed", s.Config.ageOf(config), "denied", newest)
-	if !newest { // a newer configuration may have the queue
-		return work.Queue{}, "", s.notRunError(response{})
-	}
-	return work.Queue{}, "", ErrNoQueue
-}
-
-// NoteDenial logs that a request was denied, with the version in force and the time since it was known to be the newest.
-func (s *Service) NoteDenial(method, host, path string, status int) {
-	config := s.Config.snapshot()
-	s.Logger.Info("request denied", "method", method, "host", host, "path", path, "status", status, "version", config.version(), "unconfirmed", s.Config.ageOf(config))
-}
-
-// Queue returns the id of the queue that the host and path of a request select, and the rest of the path.
-func (s *Service) Queue(ctx context.Context, host, path string) (work.QueueID, string, error) {
-	q, rest, err := s.findQueue(ctx, host, path)
-	return q.ID, rest, err
-}
-
-// MaxBody returns the maximum size of a request body; 0 means that there is no limit.
-func (s *Service) MaxBody() int64 {
-	if t := s.Config.Table(); t != nil {
-		return t.MaxBody
-	}
-	return 0
-}
-
-// Submit submits a job. The error is nil if the job is stored, a [*work.SpecError] if it can't be stored, a
-// [*shard.RefusedError] or a [*NotRunError] if it is not stored and never will be, and [ErrUnknownOutcome] if it may be stored.
-func (s *Service) Submit(ctx context.Context, host, path string, id work.JobID, spec *work.Spec) error {
-	q, _, err := s.findQueue(ctx, host, path)
-	if err != nil {
-		return err
-	}
-	if err := jobs.CheckStorable(id, q, spec, s.MaxRecord); err != nil {
-		s.Logger.Info("submit", "job", id, "queue", q.ID, "pool", q.Pool, "outcome", outcomeInvalid, "error", err)
-		return err
-	}
-	r, uncertain := s.callOwner(ctx, methodSubmit, request{Job: id, Queue: q, Spec: spec})
-	err = nil
-	switch {
-	case r.Outcome == outcomeOK:
-	case uncertain, r.Outcome == outcomeUndecoded: // an earlier attempt may still be stored, or is
-		err = ErrUnknownOutcome
-	case r.Outcome == outcomeInvalid:
-		err = &work.SpecError{Reason: shard.ErrInvalid.Error()}
-	case r.Outcome == outcomeRefused:
-		err = &shard.RefusedError{RetryAfter: r.RetryAfter}
-	default:
-		err = s.notRunError(r)
-	}
-	s.Logger.Info("submit", "job", id, "queue", q.ID, "pool", q.Pool, "outcome", r.Outcome, "unsure", uncertain, "retry_after", r.RetryAfter)
-	return err
-}
-
-// notRunError returns the error for a request that was not carried out, with the time after which to retry.
-func (s *Service) notRunError(r response) error {
-	switch {
-	case !s.Connected():
-		return &NotRunError{RetryAfter: admit.RetryElsewhere}
-	case r.Outcome == outcomeNotRun:
-		return &NotRunError{RetryAfter: r.RetryAfter}
-	default:
-		return &NotRunError{RetryAfter: admit.RetryAfterOutage(0)}
-	}
-}
-
-// Cancel cancels a job; found is false if there is no such job.
-func (s *Service) Cancel(ctx context.Context, host, path string, id work.JobID) (found bool, err error) {
-	q, _, err := s.findQueue(ctx, host, path)
-	if err != nil {
-		return false, err
-	}
-	r, uncertain := s.callOwner(ctx, methodCancel, request{Job: id, Queue: q})
-	s.Logger.Info("cancel", "job", id, "queue", q.ID, "outcome", r.Outcome, "unsure", uncertain)
-	switch r.Outcome {
-	case outcomeOK:
-		return true, nil
-	case outcomeNoSuchJob:
-		return false, nil
-	default:
-		return false, ErrUnknownOutcome
-	}
-}
-
-// State returns the state of a job; found is false if there is no such job.
-func (s *Service) State(ctx context.Context, host, path string, id work.JobID) (state work.JobState, found bool, err error) {
-	q, _, err := s.findQueue(ctx, host, path)
-	if err != nil {
-		return "", false, err
-	}
-	r, _ := s.callOwner(ctx, methodState, request{Job: id, Queue: q})
-	switch r.Outcome {
-	case outcomeOK:
-		return r.State, true, nil
-	case outcomeNoSuchJob:
-		s.Logger.Info("state requested for a job that does not exist", "job", id, "queue", q.ID)
-		return "", false, nil
-	default:
-		return "", false, s.notRunError(r)
-	}
-}
-
-// Pending returns how many jobs of a queue have not started.
-func (s *Service) Pending(ctx context.Context, host, path string) (int, error) {
-	q, _, err := s.findQueue(ctx, host, path)
-	if err != nil {
-		return 0, err
-	}
-	r, _ := s.callOwner(ctx, methodPending, request{Queue: q})
-	if r.Outcome != outcomeOK {
-		return 0, s.notRunError(r)
-	}
-	return r.Pending, nil
-}
