soak: routes below others, dropped routes, operators' records that can't be read

The soak only added routes beside each other and asked for counts. It now nests and drops them, asks by GET, DELETE and POST, and keeps the operators' records alone from a daemon for up to 3 s, silent or busy. A dropped route must accept no job 2 s later, from any daemon, whatever befell it.

--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -45,11 +45,8 @@
 	daemonCount   = 4
 	crowdedSeeds  = 10 // each tenth seed runs crowdedCount daemons
 	crowdedCount  = 48
-	faultPeriod   = 12 * time.Second // how long faults are injected
-	recoveryLimit = 40 * time.Second // after the last fault, all accepted jobs must be completed within this time
-	// denialTime is the time after which no daemon denies a route that was added: a twentieth of the time in which
-	// configurations are in force, 2 s by default, and a margin.
-	denialTime    = 150 * time.Millisecond
+	faultPeriod   = 12 * time.Second       // how long faults are injected
+	recoveryLimit = 40 * time.Second       // after the last fault, all accepted jobs must be completed within this time
 	handlerTime   = 100 * time.Millisecond // from the first output of a daemon until it handles reloads
 	crashingShare = 40                     // one job in so many has a task that crashes each target that starts it
 	maxCrashes    = 5                      // of targets by one task
@@ -69,8 +66,8 @@
 }
 
 // TestSoak injects random faults into a group of daemons. It guards against accepted
-// jobs that are lost, refused jobs that run, jobs that run twice, wrong job states, routes that are denied, and tasks that
-// crash target after target.
+// jobs that are lost, refused jobs that run, jobs that run twice, wrong job states, routes that are denied, dropped routes that are
+// served, and tasks that crash target after target.
 func TestSoak(t *testing.T) {
 	for _, k := range knownSeeds {
 		t.Run(fmt.Sprintf("known-%d", k.seed), func(t *testing.T) { runSeed(t, k.seed) })
@@ -89,6 +86,7 @@
 	clientAddr   string
 	settingsPath string
 	relay        *fakes.Relay
+	gate         *local.Gate // between the relay and the store
 
 	mu      sync.Mutex
 	proc    *os.Process
@@ -96,10 +94,14 @@
 	logSize int64         // when proc was started
 }
 
-// newDaemonProcess starts the relay and writes the settings of a daemon; store is the address of the store.
-func newDaemonProcess(t *testing.T, index int, store string) *daemonProcess {
+// newDaemonProcess starts the relay and the gate to the store, and writes the settings of a daemon.
+func newDaemonProcess(t *testing.T, index int, fleet *local.Fleet) *daemonProcess {
 	t.Helper()
-	p := &daemonProcess{t: t, index: index, dir: t.TempDir(), clientAddr: local.Addr(), relay: &fakes.Relay{Upstream: store}}
+	gate, err := fleet.AddGate(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := &daemonProcess{t: t, index: index, dir: t.TempDir(), clientAddr: local.Addr(), relay: &fakes.Relay{Upstream: gate.Addr}, gate: gate}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -219,7 +221,7 @@
 // injectOverlapping injects a short series of reloads, restarts and cuts, of which some meet the faults of other series.
 func (p *daemonProcess) injectOverlapping(rng *rand.Rand, logf func(string, ...any)) {
 	for range 1 + rng.IntN(4) {
-		switch kind := rng.IntN(4); kind {
+		switch kind := rng.IntN(5); kind {
 		case 0:
 			logf("terminate %d beside other faults", p.index)
 			p.signal(syscall.SIGTERM)
@@ -229,6 +231,12 @@
 			p.relay.SetMode(fakes.RelayDropExisting)
 			time.Sleep(time.Duration(rng.IntN(300)) * time.Millisecond)
 			p.relay.SetMode(fakes.RelayPass)
+		case 2:
+			d := []local.Disturbance{local.Silent, local.Busy}[rng.IntN(2)]
+			logf("records of the operators are %s for %d", d, p.index)
+			p.gate.DisturbTopic("op", d)
+			time.Sleep(time.Duration(rng.IntN(3000)) * time.Millisecond)
+			p.gate.DisturbTopic("op", local.Undisturbed)
 		default:
 			logf("reload %d", p.index)
 			p.awaitMain()
@@ -237,34 +245,6 @@
 	}
 }
 
-// changeRoutes adds routes until end, every now and then or in series, and requests one of those that have been in the
-// configuration for denialTime from a random daemon: none may deny it.
-func changeRoutes(t *testing.T, rng *rand.Rand, fleet *local.Fleet, daemons []*daemonProcess, end time.Time) {
-	routes := []string{"cut", "sew"}
-	var added []time.Time
-	for version := int64(2); time.Now().Before(end); version++ {
-		routes = append(routes, fmt.Sprintf("added-%d", version))
-		fleet.Configure(t.Context(), version, jobHost, routes)
-		added = append(added, time.Now())
-		pause := time.Duration(rng.IntN(800)) * time.Millisecond
-		if rng.IntN(4) == 0 {
-			pause = 0
-		}
-		for next := time.Now().Add(pause); time.Now().Before(next); time.Sleep(20 * time.Millisecond) {
-			n := rng.IntN(len(added))
-			if rng.IntN(2) == 0 {
-				n = len(added) - 1 - rng.IntN(min(len(added), 3)) // one of the last
-			}
-			if age := time.Since(added[n]); age > denialTime {
-				p := daemons[rng.IntN(len(daemons))]
-				if status, _ := call(http.MethodGet, p.clientAddr, "/"+routes[2+n]+"/", ""); status == http.StatusNotFound {
-					t.Errorf("daemon %d denies the route /%s/, %v after it was added", p.index, routes[2+n], age)
-				}
-			}
-		}
-	}
-}
-
 // outcomes records for each job, identified by its path, what the responses to its submissions said.
 type outcomes struct {
 	mu       sync.Mutex
@@ -290,7 +270,7 @@
 	}
 	var daemons []*daemonProcess
 	for n := range count {
-		p := newDaemonProcess(t, n, fleet.Addr)
+		p := newDaemonProcess(t, n, fleet)
 		p.start()
 		daemons = append(daemons, p)
 	}
@@ -343,7 +323,7 @@
 		})
 	}
 	rng := rand.New(rand.NewPCG(seed, 200))
-	faults.Go(func() { changeRoutes(t, rng, fleet, daemons, end) })
+	faults.Go(func() { (&routeChanges{t: t, rng: rng, fleet: fleet, daemons: daemons}).run(end) })
 	odd := rand.New(rand.NewPCG(seed, 500))
 	faults.Go(func() {
 		for time.Now().Before(end) {
