shard: an owner that could read a part of the stored jobs denies none

Read, not seen: it takes a key in the partition that JSON changes. TestPartOfTheRecordsDeniesNoJob failed before (known false, no error); now such an owner answers that it can't tell.

--- a/internal/shard/requests.go
+++ b/internal/shard/requests.go
@@ -124,8 +124,15 @@
 }
 
 // proveOwnership replies once a write has succeeded, which shows that no later
-// owner exists. A later owner could know a job that is unknown here.
-func (s *Shard) proveOwnership(reply chan error) { s.proofWaiters = append(s.proofWaiters, reply) }
+// owner exists. A later owner could know a job that is unknown here. An owner
+// that has read only a part of the stored jobs can't say of any that it doesn't exist.
+func (s *Shard) proveOwnership(reply chan error) {
+	if s.partlyRead {
+		reply <- ErrUndecoded
+		return
+	}
+	s.proofWaiters = append(s.proofWaiters, reply)
+}
 
 // replyWhenDurable answers a request once the write that it waits for is confirmed.
 func (s *Shard) replyWhenDurable(p *pool, w waiter) {
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -116,6 +116,7 @@
 	seq                  int64               // of the last append
 	tombstones           []plog.Record       // remove the records of expired jobs
 	undecoded            map[work.JobID]bool // stored jobs of which a record can't be decoded
+	partlyRead           bool                // there are stored records that can't be asked for
 	calibrations         []*jobs.Calibration // stored by the previous owner
 	lastCalibrationWrite time.Time           // when the pools' calibrations were last written
 	lastExpiry           time.Time           // when finished jobs were last searched for expired ones
--- a/internal/shard/shard_test.go
+++ b/internal/shard/shard_test.go
@@ -335,3 +335,26 @@
 		t.Errorf("an event is handled as of %v before it was posted", posted.Sub(got))
 	}
 }
+
+// partialLog returns pages that hold a part of the newest records.
+type partialLog struct{ *fakes.Log }
+
+func (l partialLog) Newest(ctx context.Context, from plog.TopicPartition, after string) (plog.Page, error) {
+	page, err := l.Log.Newest(ctx, from, after)
+	page.Partial = true
+	return page, err
+}
+
+// Guards against a job that is denied by an owner which could read only a part of what is stored.
+func TestPartOfTheRecordsDeniesNoJob(t *testing.T) {
+	s := startShard(t, partialLog{&fakes.Log{}}, 1)
+	if _, known, err := s.State(t.Context(), "p", "0000000000000001"); !errors.Is(err, ErrUndecoded) {
+		t.Errorf("state: known %v, error %v, want %v", known, err, ErrUndecoded)
+	}
+	if known, err := s.Cancel(t.Context(), "p", "0000000000000001"); !errors.Is(err, ErrUndecoded) {
+		t.Errorf("cancel: known %v, error %v, want %v", known, err, ErrUndecoded)
+	}
+	if err := s.Submit(t.Context(), testQueue, "0000000000000002", testSpec); err != nil {
+		t.Errorf("submit: %v", err)
+	}
+}
--- a/internal/shard/write.go
+++ b/internal/shard/write.go
@@ -310,7 +310,11 @@
 				s.Logger.Error("cannot decode job record", "partition", s.Partition, "key", r.Key, "error", err)
 			}
 		}
+		s.partlyRead = s.partlyRead || page.Partial
 		if !page.More {
+			if s.partlyRead {
+				s.Logger.Error("a part of the stored jobs can't be read; none is denied", "partition", s.Partition, "read", len(stored))
+			}
 			return stored, nil
 		}
 	}
