jobd: a process that has been outrun reads from peers, and accepts jobs meanwhile

Two causes: - the version was looked for in the log alone, although any peer may have it; it is now asked for from the log and two peers at once (TestAnnouncedVersionIsReadFromPeers: 503 before, decided anew now) - effects were refused while a newer version was known of, although the bound allows them: they go by the age of their version alone if the newer one can't be read. Denials still need the newest. The case of effects in TestAnnouncedVersionOutrunsTheOneInForce demands that now; how old a version may be for an effect is held by TestEffectsNeedARecentConfiguration. Lines of requests that a newer version decides anew say 'superseded'.

--- a/internal/jobd/configuration.go
+++ b/internal/jobd/configuration.go
@@ -77,6 +77,7 @@
 )
 
 var (
+	errOutrun         = errors.New("another daemon has a newer configuration")
 	errPartRead       = errors.New("the read has returned a part of the records")
 	errReadPanicked   = errors.New("the read ended by a panic")
 	errDecodePanicked = errors.New("the decoding ended by a panic")
@@ -169,29 +170,38 @@
 	return c.snapshot().confirmedAt
 }
 
-// readNewer reads the versions that the log has beyond the one in force, apart from the watcher, which waits for them.
+// readNewer reads the versions beyond the one in force, apart from the watcher, which waits for them.
 func (c *configuration) readNewer(ctx context.Context) error {
 	err := errReadPanicked
 	panics.Catch(c.Logger, "read of the configuration", func() {
-		sent := c.Clock.Now()
-		var b plog.Batch
-		if b, err = c.Platform.Log.Read(ctx, c.Platform.OperatorPartition, c.watcher.Offset(), 0); err != nil {
-			return
-		}
-		for i, r := range b.Records {
-			if !c.Platform.IsWaveKey(r.Key) {
-				c.apply(b.Next-ident.Offset(len(b.Records)-i), r)
-			}
-		}
-		if !b.Complete() {
-			err = errPartRead
-			return
+		if c.outrun() {
+			err = c.readOutrun(ctx)
+		} else {
+			err = c.readLog(ctx)
 		}
-		c.confirm(sent)
 	})
 	return err
 }
 
+// readLog reads the versions that the log has beyond the one in force.
+func (c *configuration) readLog(ctx context.Context) error {
+	sent := c.Clock.Now()
+	b, err := c.Platform.Log.Read(ctx, c.Platform.OperatorPartition, c.watcher.Offset(), 0)
+	if err != nil {
+		return err
+	}
+	for i, r := range b.Records {
+		if !c.Platform.IsWaveKey(r.Key) {
+			c.apply(b.Next-ident.Offset(len(b.Records)-i), r)
+		}
+	}
+	if !b.Complete() {
+		return errPartRead
+	}
+	c.confirm(sent)
+	return nil
+}
+
 // reportAge publishes the version and its age, and logs when the age passes the time in which changes must be in force.
 func (c *configuration) reportAge() {
 	if c.Table() == nil {
--- a/internal/jobd/confpeers.go
+++ b/internal/jobd/confpeers.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/toucanhatch/toucanhatch/internal/link"
+	"github.com/toucanhatch/toucanhatch/internal/panics"
 )
 
 // configQuery asks another daemon for a newer configuration than that of a version.
@@ -68,22 +69,54 @@
 	defer cancel()
 	var wg sync.WaitGroup
 	for _, addr := range peers {
-		wg.Go(func() {
-			sent := c.Clock.Now()
-			r, err := link.Call[configReply](ctx, c.PeerClient, addr, methodConfig, configQuery{Version: c.version()})
-			if err != nil || r.Version == 0 {
-				return // another daemon may have it
-			}
-			if len(r.Encoded) > 0 {
-				c.Logger.Info("a peer has a newer configuration", "peer", addr, "version", r.Version, "unconfirmed", r.Age)
-				c.applyConfig(r.Encoded, sourcePeer)
-			}
-			c.confirmByPeer(r.Version, sent.Add(-r.Age))
-		})
+		wg.Go(func() { c.askPeer(ctx, addr) })
 	}
 	wg.Wait()
 }
 
+// askPeer asks another daemon for a newer configuration.
+func (c *configuration) askPeer(ctx context.Context, addr string) {
+	sent := c.Clock.Now()
+	r, err := link.Call[configReply](ctx, c.PeerClient, addr, methodConfig, configQuery{Version: c.version()})
+	if err != nil || r.Version == 0 {
+		return // another daemon may have it
+	}
+	if len(r.Encoded) > 0 {
+		c.Logger.Info("a peer has a newer configuration", "peer", addr, "version", r.Version, "unconfirmed", r.Age)
+		c.applyConfig(r.Encoded, sourcePeer)
+	}
+	c.confirmByPeer(r.Version, sent.Add(-r.Age))
+}
+
+// readOutrun reads the configuration from the log and from some peers at the same time, until it is not outrun any more.
+func (c *configuration) readOutrun(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	peers := c.SomePeers(firstConfigPeers)
+	results := make(chan error, 1+len(peers))
+	start := func(read func() error) {
+		go func() {
+			err := errReadPanicked
+			panics.Catch(c.Logger, "read of the configuration", func() { err = read() })
+			results <- err
+		}()
+	}
+	start(func() error { return c.readLog(ctx) })
+	for _, addr := range peers {
+		start(func() error {
+			c.askPeer(ctx, addr)
+			return errOutrun
+		})
+	}
+	err := errOutrun
+	for range cap(results) {
+		if err = <-results; !c.outrun() {
+			return nil
+		}
+	}
+	return err
+}
+
 // reply answers the query of another daemon.
 func (c *configuration) reply(q configQuery) configReply {
 	current := c.snapshot()
--- a/internal/jobd/decision.go
+++ b/internal/jobd/decision.go
@@ -76,9 +76,17 @@
 	return nil
 }
 
-// mayAct returns nil if the request may be carried out by the version of the decision, as [Decision.Deny] does.
+// mayAct returns nil if the request may be carried out by the version of the decision. The error is [ErrSuperseded] or a
+// [*NotRunError], as for [Decision.Deny]. A version that has been outrun is in force within the bound, if the newer one can't
+// be read.
 func (d *Decision) mayAct(ctx context.Context) error {
-	return d.confirm(ctx, d.service.Config.ApplyWithin*effectAgeWithinTarget/10)
+	c := d.service.Config
+	maxAge := c.ApplyWithin * effectAgeWithinTarget / 10
+	err := d.confirm(ctx, maxAge)
+	if err == nil || errors.Is(err, ErrSuperseded) || c.snapshot().confirmedAt.Before(d.arrived.Add(-maxAge)) {
+		return err
+	}
+	return nil
 }
 
 // mayRead returns [ErrSuperseded] if a newer version is in force than that of the decision. A process that can't tell shows
@@ -100,7 +108,7 @@
 		return err
 	}
 	if err := d.mayAct(ctx); err != nil {
-		s.Logger.Info("submit", "job", id, "queue", q.ID, "pool", q.Pool, "outcome", outcomeNotRun, "version", d.config.version(), "unconfirmed", s.Config.ageOf(d.config), "error", err)
+		d.logUnmade("submit", id, err)
 		return err
 	}
 	r, uncertain := s.callOwner(ctx, methodSubmit, d.request(id, spec))
@@ -124,7 +132,7 @@
 func (d *Decision) Cancel(ctx context.Context, id work.JobID) (found bool, err error) {
 	s := d.service
 	if err := d.mayAct(ctx); err != nil {
-		s.Logger.Info("cancel", "job", id, "queue", d.queue.ID, "outcome", outcomeNotRun, "version", d.config.version(), "unconfirmed", s.Config.ageOf(d.config), "error", err)
+		d.logUnmade("cancel", id, err)
 		return false, err
 	}
 	r, uncertain := s.callOwner(ctx, methodCancel, d.request(id, nil))
@@ -167,6 +175,16 @@
 	return r.Pending, nil
 }
 
+// logUnmade logs that a request was not passed to the pool's owner.
+func (d *Decision) logUnmade(name string, id work.JobID, err error) {
+	result := outcomeNotRun
+	if errors.Is(err, ErrSuperseded) {
+		result = outcomeSuperseded
+	}
+	s := d.service
+	s.Logger.Info(name, "job", id, "queue", d.queue.ID, "pool", d.queue.Pool, "outcome", result, "version", d.config.version(), "unconfirmed", s.Config.ageOf(d.config), "newest", s.Config.version())
+}
+
 // request returns the request to the owner of the queue's pool.
 func (d *Decision) request(id work.JobID, spec *work.Spec) request {
 	return request{Job: id, Queue: d.queue, Spec: spec, Version: d.config.version()}
--- a/internal/jobd/service.go
+++ b/internal/jobd/service.go
@@ -96,6 +96,8 @@
 	outcomeUndecoded outcome = "undecoded" // the job is stored, and its owner can't decode it
 	outcomeNotOwner  outcome = "not_owner"
 	outcomeUncertain outcome = "unsure" // the request may have been carried out
+	// outcomeSuperseded is that of a request which a newer version of the configuration decides anew.
+	outcomeSuperseded outcome = "superseded"
 )
 
 // request is a client's request, or one for a pool's report, as sent to the pool's owner.
