jobd: a read for a denial is repeated on another connection

A client got 503 with Retry-After instead of its 404 while the open connections to the log were silent and new ones worked, until the watcher had replaced them. Cause: the read used an open connection and waited for its whole timeout. It is now repeated on a connection of its own after half of it.

--- a/internal/jobd/configuration.go
+++ b/internal/jobd/configuration.go
@@ -11,6 +11,7 @@
 
 	"github.com/toucanhatch/toucanhatch/internal/clock"
 	"github.com/toucanhatch/toucanhatch/internal/fresh"
+	"github.com/toucanhatch/toucanhatch/internal/hedge"
 	"github.com/toucanhatch/toucanhatch/internal/link"
 	"github.com/toucanhatch/toucanhatch/internal/panics"
 	"github.com/toucanhatch/toucanhatch/internal/plog"
@@ -74,6 +75,8 @@
 	denialsWithinTarget       = 20
 	readTimeoutsWithinTarget  = 8
 	failurePausesWithinTarget = 8
+	// repeatsWithinReadTimeout divides the timeout of a read into the times after which it is repeated.
+	repeatsWithinReadTimeout = 2
 )
 
 var (
@@ -183,25 +186,40 @@
 	return err
 }
 
-// readLog reads the versions that the log has beyond the one in force.
+// readLog reads the versions that the log has beyond the one in force. Open connections to the log may have gone silent, so
+// that the read is soon repeated on others.
 func (c *configuration) readLog(ctx context.Context) error {
-	sent := c.Clock.Now()
-	b, err := c.Platform.Log.Read(ctx, c.Platform.OperatorPartition, c.watcher.Offset(), 0)
+	step := c.check.Timeout / repeatsWithinReadTimeout
+	read, err := hedge.Do(ctx, hedge.Policy{After: step, Interval: step, Clock: c.Clock, Logger: c.Logger}, func(ctx context.Context, n int) (logRead, error) {
+		if n > 0 {
+			ctx = plog.Repeat(ctx)
+		}
+		r := logRead{sent: c.Clock.Now()}
+		var err error
+		r.Batch, err = c.Platform.Log.Read(ctx, c.Platform.OperatorPartition, c.watcher.Offset(), 0)
+		return r, err
+	})
 	if err != nil {
 		return err
 	}
-	for i, r := range b.Records {
+	for i, r := range read.Records {
 		if !c.Platform.IsWaveKey(r.Key) {
-			c.apply(b.Next-ident.Offset(len(b.Records)-i), r)
+			c.apply(read.Next-ident.Offset(len(read.Records)-i), r)
 		}
 	}
-	if !b.Complete() {
+	if !read.Complete() {
 		return errPartRead
 	}
-	c.confirm(sent)
+	c.confirm(read.sent)
 	return nil
 }
 
+// logRead is a batch of the operators' records, and when its read was sent.
+type logRead struct {
+	plog.Batch
+	sent time.Time
+}
+
 // reportAge publishes the version and its age, and logs when the age passes the time in which changes must be in force.
 func (c *configuration) reportAge() {
 	if c.Table() == nil {
