--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -25,6 +25,7 @@
 var (
 	seeds = flag.Int("seeds", 1, "number of seeds to run besides the known ones")
 	first = flag.Uint64("first", 1, "first seed")
+	size  = flag.Int("daemons", 0, "daemons in each run; 0 for 4, and 48 in each tenth")
 	// otherBuild lets two versions of the program run in one group.
 	otherBuild = flag.String("other_build", "", "path of a toucanjobd of another version, which every second daemon runs")
 )
@@ -268,6 +269,9 @@
 	if seed%crowdedSeeds == 0 {
 		count = crowdedCount
 	}
+	if *size > 0 {
+		count = max(*size, daemonCount)
+	}
 	var daemons []*daemonProcess
 	for n := range count {
 		p := newDaemonProcess(t, n, fleet)
