jobd: jobs are accepted for 5 s longer while nobody can read the configuration

While the operators' records can't be read they can hardly be written, so that the clients were refused for a version that nobody could have published. Effects now go on for 5 s beyond nine tenths of the bound, the time by which the users' pages extend the bound while their platform is disturbed, unless another daemon has named a newer version; the pool's owner still refuses a queue that it knows to be dropped. Denials need the newest version as before.

--- a/internal/jobd/decision.go
+++ b/internal/jobd/decision.go
@@ -33,6 +33,10 @@
 // any more still accepts and cancels jobs. The rest is a margin for clocks of different speeds.
 const effectAgeWithinTarget = 9
 
+// outageExtension is how much longer a configuration accepts and cancels jobs while neither the log nor a peer can tell
+// whether there is a newer one: while the operators' records can't be read, they can hardly be written.
+const outageExtension = 5 * time.Second
+
 // Decide selects the queue of a request by the configuration in force. The error is [ErrNoConfig] if there is none.
 func (s *Service) Decide(host, path string) (*Decision, error) {
 	d := &Decision{service: s, config: s.Config.snapshot(), arrived: s.Clock.Now(), host: host, path: path}
@@ -77,13 +81,18 @@
 }
 
 // mayAct returns nil if the request may be carried out by the version of the decision. The error is [ErrSuperseded] or a
-// [*NotRunError], as for [Decision.Deny]. A version that has been outrun is in force within the bound, if the newer one can't
-// be read.
+// [*NotRunError], as for [Decision.Deny].
 func (d *Decision) mayAct(ctx context.Context) error {
 	c := d.service.Config
 	maxAge := c.ApplyWithin * effectAgeWithinTarget / 10
 	err := d.confirm(ctx, maxAge)
-	if err == nil || errors.Is(err, ErrSuperseded) || c.snapshot().confirmedAt.Before(d.arrived.Add(-maxAge)) {
+	if err == nil || errors.Is(err, ErrSuperseded) {
+		return err
+	}
+	if !c.outrun() {
+		maxAge += outageExtension
+	}
+	if c.snapshot().confirmedAt.Before(d.arrived.Add(-maxAge)) {
 		return err
 	}
 	return nil
