--- a/internal/jobd/confpeers.go
+++ b/internal/jobd/confpeers.go
@@ -31,7 +31,8 @@
 )
 
 // followPeers asks other daemons for the configuration if the log hasn't confirmed it for longer than a read takes, or
-// refuses reads, or if another daemon has a newer one. A round in which no peer had a recent one is followed by a longer pause: the log may be down for all.
+// refuses reads, or if another daemon has a newer one. A round in which no peer had a recent one is followed by a longer
+// pause: the log may be down for all.
 func (c *configuration) followPeers(ctx context.Context) {
 	limit := c.ApplyWithin / 2
 	if c.watcher.Failing() {
