--- a/internal/jobd/configuration.go
+++ b/internal/jobd/configuration.go
@@ -81,7 +81,7 @@
 )
 
 var (
-	errOutrun         = errors.New("another daemon has a newer configuration")
+	errBehind         = errors.New("another daemon has a newer configuration")
 	errPartRead       = errors.New("the read has returned a part of the records")
 	errReadPanicked   = errors.New("the read ended by a panic")
 	errDecodePanicked = errors.New("the decoding ended by a panic")
@@ -162,8 +162,8 @@
 	}
 }
 
-// outrun reports whether another daemon has named a version that is newer than the one in force.
-func (c *configuration) outrun() bool { return c.announced.Load() > c.version() }
+// behind reports whether another daemon has named a version that is newer than the one in force.
+func (c *configuration) behind() bool { return c.announced.Load() > c.version() }
 
 // hasDropped reports whether the configuration in force is newer than a version, and has no such queue for the same pool.
 func (c *configuration) hasDropped(queue work.Queue, version int64) bool {
@@ -176,7 +176,7 @@
 // confirmedAt returns the latest time at which the configuration in force was the newest, the zero time if it is known not
 // to be the newest any more.
 func (c *configuration) confirmedAt() time.Time {
-	if c.outrun() {
+	if c.behind() {
 		return time.Time{}
 	}
 	return c.snapshot().confirmedAt
@@ -186,8 +186,8 @@
 func (c *configuration) readNewer(ctx context.Context) error {
 	err := errReadPanicked
 	panics.Catch(c.Logger, "read of the configuration", func() {
-		if c.outrun() {
-			err = c.readOutrun(ctx)
+		if c.behind() {
+			err = c.catchUp(ctx)
 		} else {
 			err = c.readLog(ctx)
 		}
--- a/internal/jobd/confpeers.go
+++ b/internal/jobd/confpeers.go
@@ -39,7 +39,7 @@
 		limit = c.ApplyWithin / 4
 	}
 	begin := c.Clock.Now()
-	if c.Age() <= limit && !c.outrun() || begin.Before(c.nextAsk) {
+	if c.Age() <= limit && !c.behind() || begin.Before(c.nextAsk) {
 		return
 	}
 	c.askPeers(ctx)
@@ -58,7 +58,7 @@
 		n = min(n, len(peers))
 		c.askGroup(ctx, peers[:n])
 		peers = peers[n:]
-		if c.Age() <= c.ApplyWithin/2 && !c.outrun() {
+		if c.Age() <= c.ApplyWithin/2 && !c.behind() {
 			return
 		}
 	}
@@ -89,8 +89,9 @@
 	c.confirmByPeer(r.Version, sent.Add(-r.Age))
 }
 
-// readOutrun reads the configuration from the log and from some peers at the same time, until it is not outrun any more.
-func (c *configuration) readOutrun(ctx context.Context) error {
+// catchUp reads the configuration from the log and from some peers at the same time, until the version in force is not
+// behind any more.
+func (c *configuration) catchUp(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	peers := c.SomePeers(firstConfigPeers)
@@ -106,12 +107,12 @@
 	for _, addr := range peers {
 		start(func() error {
 			c.askPeer(ctx, addr)
-			return errOutrun
+			return errBehind
 		})
 	}
-	err := errOutrun
+	err := errBehind
 	for range cap(results) {
-		if err = <-results; !c.outrun() {
+		if err = <-results; !c.behind() {
 			return nil
 		}
 	}
--- a/internal/jobd/decision.go
+++ b/internal/jobd/decision.go
@@ -81,7 +81,8 @@
 }
 
 // mayAct returns nil if the request may be carried out by the version of the decision. The error is [ErrSuperseded] or a
-// [*NotRunError], as for [Decision.Deny].
+// [*NotRunError], as for [Decision.Deny]. While nobody who answers knows of a newer version, that of the decision may be
+// older by outageExtension.
 func (d *Decision) mayAct(ctx context.Context) error {
 	c := d.service.Config
 	maxAge := c.ApplyWithin * effectAgeWithinTarget / 10
@@ -89,7 +90,7 @@
 	if err == nil || errors.Is(err, ErrSuperseded) {
 		return err
 	}
-	if !c.outrun() {
+	if !c.behind() {
 		maxAge += outageExtension
 	}
 	if c.snapshot().confirmedAt.Before(d.arrived.Add(-maxAge)) {
@@ -117,7 +118,7 @@
 		return err
 	}
 	if err := d.mayAct(ctx); err != nil {
-		d.logUnmade("submit", id, err)
+		d.logNotPassed("submit", id, err)
 		return err
 	}
 	r, uncertain := s.callOwner(ctx, methodSubmit, d.request(id, spec))
@@ -143,7 +144,7 @@
 func (d *Decision) Cancel(ctx context.Context, id work.JobID) (found bool, err error) {
 	s := d.service
 	if err := d.mayAct(ctx); err != nil {
-		d.logUnmade("cancel", id, err)
+		d.logNotPassed("cancel", id, err)
 		return false, err
 	}
 	r, uncertain := s.callOwner(ctx, methodCancel, d.request(id, nil))
@@ -186,8 +187,8 @@
 	return r.Pending, nil
 }
 
-// logUnmade logs that a request was not passed to the pool's owner.
-func (d *Decision) logUnmade(name string, id work.JobID, err error) {
+// logNotPassed logs that a request was not passed to the pool's owner.
+func (d *Decision) logNotPassed(name string, id work.JobID, err error) {
 	result := outcomeNotRun
 	if errors.Is(err, ErrSuperseded) {
 		result = outcomeSuperseded
--- a/internal/jobd/decision_test.go
+++ b/internal/jobd/decision_test.go
@@ -53,7 +53,7 @@
 }
 
 // Guards against a decision by a version that another daemon has shown to be older than the newest.
-func TestAnnouncedVersionOutrunsTheOneInForce(t *testing.T) {
+func TestVersionBehindAnAnnouncedOneDeniesNothing(t *testing.T) {
 	s := newRefusedService()
 	if _, err := deny(t.Context(), s, "/other/1"); err != nil {
 		t.Fatalf("by the newest version: error %v, want a denial", err)
@@ -81,7 +81,7 @@
 func TestEffectsNeedARecentConfiguration(t *testing.T) {
 	for _, test := range []struct {
 		age    time.Duration // beyond nine tenths of the bound
-		outrun bool
+		behind bool
 		notRun bool
 	}{
 		{-time.Second, false, false},
@@ -95,12 +95,12 @@
 		current := s.Config.snapshot()
 		current.confirmedAt = time.Now().Add(-test.age - s.Config.ApplyWithin*effectAgeWithinTarget/10)
 		s.Config.current.Store(&current)
-		if test.outrun {
+		if test.behind {
 			s.Config.noteVersion(2)
 		}
 		var notRun *NotRunError
 		if err := mustDecide(t, s, "/queue/1").mayAct(t.Context()); errors.As(err, &notRun) != test.notRun {
-			t.Errorf("%v beyond nine tenths of the bound, outrun %v: error %v, want not run: %v", test.age, test.outrun, err, test.notRun)
+			t.Errorf("%v beyond nine tenths of the bound, behind %v: error %v, want not run: %v", test.age, test.behind, err, test.notRun)
 		}
 	}
 }
