--- a/internal/peer/node_test.go
+++ b/internal/peer/node_test.go
@@ -75,7 +75,7 @@
 	c := &skewClock{Clock: clock.System()}
 	n := &testNode{Node: NewNode(id, "kg-a", c), log: &logBuffer{}, clock: c, got: make(chan int, 2*maxQueue), done: make(chan struct{})}
 	n.Key, n.Seeds = testKey, seeds
-	n.Listener = l
+	n.Listener, n.Address = l, l.Addr().String() // tests dial before Run has begun
 	n.Logger = hclog.New(&hclog.LoggerOptions{Output: n.log, Level: hclog.Debug})
 	n.Handle(func(_ ident.EntryID, m wire.Message) {
 		if m, ok := m.(note); ok {
