--- a/internal/jobd/decision.go
+++ b/internal/jobd/decision.go
@@ -66,17 +66,19 @@
 	return err
 }
 
-// confirm returns nil if the version of the decision was the newest at most maxAge before the request arrived.
+// confirm returns nil if the version of the decision was the newest at most maxAge before the request arrived. While that
+// version is in force, the decision learns when it was last confirmed.
 func (d *Decision) confirm(ctx context.Context, maxAge time.Duration) error {
 	c := d.service.Config
-	newest := c.newestSince(ctx, d.arrived.Add(-maxAge))
-	switch now := c.snapshot(); {
-	case now.version() != d.config.version():
+	newest := c.check.NewestSince(ctx, d.arrived.Add(-maxAge))
+	now := c.snapshot()
+	if now.version() != d.config.version() {
 		return ErrSuperseded
-	case !newest:
+	}
+	d.config = now
+	if !newest {
 		return d.service.notRunError(response{})
 	}
-	d.config = c.snapshot() // the same version, confirmed later
 	return nil
 }
 
@@ -93,7 +95,7 @@
 	if !c.behind() {
 		maxAge += outageExtension
 	}
-	if c.snapshot().confirmedAt.Before(d.arrived.Add(-maxAge)) {
+	if d.config.confirmedAt.Before(d.arrived.Add(-maxAge)) {
 		return err
 	}
 	return nil
