jobd, watch, fakes: one piece where the change had written it twice

- Batch.Offset instead of the same sum in the watcher and in the read for denials
- configuration.newestWithin instead of two conditions on age and version; newestSince only passed a call on and is gone
- fakePartition.keep for Append and Truncate
- in tests: publish and refusingLog instead of two closures and four logs No behaviour changes.

--- a/internal/fakes/log.go
+++ b/internal/fakes/log.go
@@ -37,6 +37,15 @@
 	changed       chan struct{} // closed and replaced at each append
 }
 
+// keep makes a record the newest of its key.
+func (p *fakePartition) keep(r plog.Record) {
+	if len(r.Value) == 0 {
+		delete(p.newest, r.Key)
+	} else {
+		p.newest[r.Key] = r.Value
+	}
+}
+
 // maxRecentWriters is the number of appends whose repeats a partition recognizes.
 const maxRecentWriters = 5
 
@@ -99,11 +108,7 @@
 	}
 	for _, r := range records {
 		p.records = append(p.records, r)
-		if len(r.Value) == 0 {
-			delete(p.newest, r.Key)
-		} else {
-			p.newest[r.Key] = r.Value
-		}
+		p.keep(r)
 	}
 	close(p.changed)
 	p.changed = make(chan struct{})
@@ -118,11 +123,7 @@
 	x.records = x.records[:end:end]
 	x.newest = map[string][]byte{}
 	for _, r := range x.records {
-		if len(r.Value) == 0 {
-			delete(x.newest, r.Key)
-		} else {
-			x.newest[r.Key] = r.Value
-		}
+		x.keep(r)
 	}
 }
 
--- a/internal/jobd/configuration.go
+++ b/internal/jobd/configuration.go
@@ -145,11 +145,6 @@
 // MaxDenialAge returns how long before a request the configuration must have been the newest to deny it.
 func (c *configuration) MaxDenialAge() time.Duration { return c.ApplyWithin / denialsWithinTarget }
 
-// newestSince reports whether the configuration in force was the newest at a time or later, after a read if need be.
-func (c *configuration) newestSince(ctx context.Context, t time.Time) bool {
-	return c.check.NewestSince(ctx, t)
-}
-
 // noteVersion notes that another daemon has a version in force.
 func (c *configuration) noteVersion(version int64) {
 	for known := c.announced.Load(); version > known; known = c.announced.Load() {
@@ -162,6 +157,9 @@
 	}
 }
 
+// newestWithin reports whether the configuration in force was the newest at most d ago, and no newer one is known of.
+func (c *configuration) newestWithin(d time.Duration) bool { return c.Age() <= d && !c.behind() }
+
 // behind reports whether another daemon has named a version that is newer than the one in force.
 func (c *configuration) behind() bool { return c.announced.Load() > c.version() }
 
@@ -213,7 +211,7 @@
 	}
 	for i, r := range read.Records {
 		if !c.Platform.IsWaveKey(r.Key) {
-			c.apply(read.Next-ident.Offset(len(read.Records)-i), r)
+			c.apply(read.Offset(i), r)
 		}
 	}
 	if !read.Complete() {
--- a/internal/jobd/configuration_test.go
+++ b/internal/jobd/configuration_test.go
@@ -60,14 +60,25 @@
 	return plog.Record{Key: testConfigKey, Value: []byte(version)}
 }
 
+// publish appends a version to the log, as the operators do.
+func publish(t *testing.T, log plog.Log, c *configuration, version string) {
+	t.Helper()
+	if err := log.Append(t.Context(), c.Platform.OperatorPartition, plog.Writer{}, []plog.Record{configRecord(version)}); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// refusingLog returns a log that refuses all calls.
+func refusingLog() *fakes.Log {
+	return &fakes.Log{BeforeCall: func(string, plog.TopicPartition) (bool, error) { return false, plog.ErrRefused }}
+}
+
 // Guards against a queue that is denied by a configuration of which the process can know that it is old.
 func TestUnconfirmedConfigurationDeniesNoQueue(t *testing.T) {
 	log := &fakes.Log{}
-	refusing := &fakes.Log{BeforeCall: func(string, plog.TopicPartition) (bool, error) { return false, plog.ErrRefused }}
+	refusing := refusingLog()
 	current, behind, outdated := newTestConfiguration(log), newTestConfiguration(log), newTestConfiguration(refusing)
-	if err := log.Append(t.Context(), current.Platform.OperatorPartition, plog.Writer{}, []plog.Record{configRecord("1")}); err != nil {
-		t.Fatal(err)
-	}
+	publish(t, log, current, "1")
 	go current.Run(t.Context())
 	current.watcher.WaitSynced(t.Context())
 	behind.apply(0, configRecord("0"))
@@ -105,7 +116,7 @@
 
 // Guards against a process that the log turns away and that keeps its configuration although its peers have a newer one.
 func TestConfigurationIsReadFromPeers(t *testing.T) {
-	refusing := &fakes.Log{BeforeCall: func(string, plog.TopicPartition) (bool, error) { return false, plog.ErrRefused }}
+	refusing := refusingLog()
 	newer, older := newTestConfiguration(refusing), newTestConfiguration(refusing)
 	newer.apply(0, configRecord("3"))
 	newer.confirm(time.Now())
@@ -133,7 +144,7 @@
 
 // Guards against a version that is in force late because the few peers that are asked don't reach the log either.
 func TestConfigurationIsReadFromTheFewPeersThatHaveIt(t *testing.T) {
-	refusing := &fakes.Log{BeforeCall: func(string, plog.TopicPartition) (bool, error) { return false, plog.ErrRefused }}
+	refusing := refusingLog()
 	newer, older := newTestConfiguration(refusing), newTestConfiguration(refusing)
 	newer.apply(0, configRecord("3"))
 	newer.confirm(time.Now())
@@ -162,12 +173,7 @@
 func TestPanickingDecoderDeniesNoQueue(t *testing.T) {
 	log := &fakes.Log{}
 	c := newTestConfiguration(log)
-	put := func(version string) {
-		t.Helper()
-		if err := log.Append(t.Context(), c.Platform.OperatorPartition, plog.Writer{}, []plog.Record{configRecord(version)}); err != nil {
-			t.Fatal(err)
-		}
-	}
+	put := func(version string) { publish(t, log, c, version) }
 	put("1")
 	go c.Run(t.Context())
 	c.watcher.WaitSynced(t.Context())
@@ -190,12 +196,7 @@
 func TestOlderVersionOfPeerHidesNoUndecodableOne(t *testing.T) {
 	log := &fakes.Log{}
 	c := newTestConfiguration(log)
-	put := func(version string) {
-		t.Helper()
-		if err := log.Append(t.Context(), c.Platform.OperatorPartition, plog.Writer{}, []plog.Record{configRecord(version)}); err != nil {
-			t.Fatal(err)
-		}
-	}
+	put := func(version string) { publish(t, log, c, version) }
 	put("1")
 	go c.Run(t.Context())
 	c.watcher.WaitSynced(t.Context())
--- a/internal/jobd/confpeers.go
+++ b/internal/jobd/confpeers.go
@@ -39,7 +39,7 @@
 		limit = c.ApplyWithin / 4
 	}
 	begin := c.Clock.Now()
-	if c.Age() <= limit && !c.behind() || begin.Before(c.nextAsk) {
+	if c.newestWithin(limit) || begin.Before(c.nextAsk) {
 		return
 	}
 	c.askPeers(ctx)
@@ -58,7 +58,7 @@
 		n = min(n, len(peers))
 		c.askGroup(ctx, peers[:n])
 		peers = peers[n:]
-		if c.Age() <= c.ApplyWithin/2 && !c.behind() {
+		if c.newestWithin(c.ApplyWithin / 2) {
 			return
 		}
 	}
--- a/internal/jobd/decision_test.go
+++ b/internal/jobd/decision_test.go
@@ -9,7 +9,6 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/toucanhatch/toucanhatch/internal/clock"
-	"github.com/toucanhatch/toucanhatch/internal/fakes"
 	"github.com/toucanhatch/toucanhatch/internal/plog"
 	"github.com/toucanhatch/toucanhatch/internal/work"
 	"github.com/toucanhatch/toucanhatch/pkg/ident"
@@ -17,7 +16,7 @@
 
 // newRefusedService returns a service whose log refuses all calls, with version 1 confirmed just now.
 func newRefusedService() *Service {
-	c := newTestConfiguration(&fakes.Log{BeforeCall: func(string, plog.TopicPartition) (bool, error) { return false, plog.ErrRefused }})
+	c := newTestConfiguration(refusingLog())
 	c.apply(0, configRecord("1"))
 	c.confirm(time.Now())
 	return &Service{Config: c, Clock: clock.System(), Logger: hclog.NewNullLogger()}
--- a/internal/plog/plog.go
+++ b/internal/plog/plog.go
@@ -67,6 +67,9 @@
 // ends before the batch has lost records, and others may take their offsets.
 func (b *Batch) Complete() bool { return b.Next == b.End }
 
+// Offset returns the offset of the record with index i.
+func (b *Batch) Offset(i int) ident.Offset { return b.Next - ident.Offset(len(b.Records)-i) }
+
 // Readable reports whether the key of the record could be read.
 func (r *Record) Readable() bool { return r.Key != "" }
 
--- a/internal/watch/watcher.go
+++ b/internal/watch/watcher.go
@@ -208,7 +208,7 @@
 	}
 	all = true
 	for i := range b.Records {
-		r, at := b.Records[i], b.Next-ident.Offset(len(b.Records)-i)
+		r, at := b.Records[i], b.Offset(i)
 		if !panics.Catch(w.Logger.With("key", r.Key), part, func() { w.Apply(at, r) }) || !r.Readable() {
 			all = false
 		}
