jobs: a task is tried only on a target that answers

Cause: a rack goes dark. A task that had just started there is suspected of the crash and starts alone on another target, an idle one by preference, as a crash would end the least there. Idle targets of the same rack look alive until their long poll of up to 2.7 s fails, so the task starts on a second and a third dark one, each of which is then listed as down: three crashes without another cause. Evidence: TestSilentTargetsGetNoTrial failed on ('the job is given up for targets that were lost before its task reached them'). Change: a target that is reserved for a trial is asked at once, and the task starts there when it has answered. One that doesn't answer within 500 ms counts as unreachable until it does. The harness of the tests answers such requests.

--- a/internal/jobs/command.go
+++ b/internal/jobs/command.go
@@ -31,6 +31,9 @@
 	Percent int
 }
 
+// ProbeCommand requests a run report from a target soon.
+type ProbeCommand struct{ Target work.TargetID }
+
 // AdviceRequest asks which targets may run a step. Its response goes to [Pool.HandleAdvice].
 type AdviceRequest struct {
 	Job        work.JobID
@@ -42,4 +45,5 @@
 func (StartCommand) isCommand()  {}
 func (StopCommand) isCommand()   {}
 func (PaceCommand) isCommand()   {}
+func (ProbeCommand) isCommand()  {}
 func (AdviceRequest) isCommand() {}
--- a/internal/jobs/crash.go
+++ b/internal/jobs/crash.go
@@ -18,6 +18,8 @@
 	maxTrialWait = 10 * time.Second
 	// maxReservation is how long a target is reserved for a suspect that can't start there.
 	maxReservation = time.Second
+	// maxProbeWait is how long a target that is reserved for a trial has to answer.
+	maxProbeWait = 500 * time.Millisecond
 	// trialShare is the inverse of the share of the usable targets that may be reserved for trials.
 	trialShare = 4
 	// serviceCrashCost and notReadyCost are the numbers of tasks that a service task, and a target that isn't ready, outweigh
@@ -35,12 +37,21 @@
 	spec *work.Step
 }
 
-// trial reserves a target for the start of a suspect. Other tasks don't start there until the suspect has survived.
+// trial reserves a target for the start of a suspect. The suspect starts there once the target has answered, since one
+// that was lost before says nothing about the suspect. Other tasks don't start there until the suspect has survived.
 type trial struct {
 	*suspect
 	since time.Time
 }
 
+// answered reports whether the target of the trial has answered a request that was sent after the reservation.
+func (x *trial) answered(t *target) bool { return !t.reportRequestedAt.Before(x.since) }
+
+// unanswered reports whether the target had maxProbeWait to answer, and has not.
+func (x *trial) unanswered(now time.Time, t *target) bool {
+	return !x.answered(t) && now.Sub(x.since) > maxProbeWait
+}
+
 // survived reports whether the run's target has reported long enough after its start. It reports true for runs of
 // previous owners, since it is not known when they started.
 func (r *run) survived() bool {
@@ -139,6 +150,10 @@
 		if !t.trial.over(now, t) {
 			continue
 		}
+		if t.trial.unanswered(now, t) {
+			p.emit(Event{Kind: EventTrialUnanswered, Job: t.trial.job.id, Task: t.trial.id, Target: t.ID})
+			p.MarkUnreachable(now, t.ID)
+		}
 		if s := t.trial.suspect; s.task.run == nil { // it goes behind those whose targets may be ready
 			p.suspects = append(slices.DeleteFunc(p.suspects, func(x *suspect) bool { return x == s }), s)
 		}
@@ -152,6 +167,8 @@
 	switch {
 	case x.task.done, x.job.finished(), !t.usable(now):
 		return true
+	case x.unanswered(now, t):
+		return true
 	case r == nil:
 		return now.Sub(x.since) > maxReservation
 	default:
@@ -170,7 +187,7 @@
 		if t == nil {
 			t = p.reserveForTrial(now, s, cs)
 		}
-		if t != nil && t.ready(now, s) {
+		if t != nil && t.trial.answered(t) && t.ready(now, s) {
 			p.planRun(s.job, s.id.Occurrence, s.id.Step, s.id.Index, t, "")
 			p.emitPlanned(s.job)
 		}
@@ -201,6 +218,7 @@
 	}
 	if best != nil {
 		best.trial = &trial{suspect: s, since: now}
+		p.commands = append(p.commands, ProbeCommand{Target: best.ID})
 		p.trialTargets = append(p.trialTargets, best)
 		cs.exclude(best.candidate)
 	}
--- a/internal/jobs/crash_test.go
+++ b/internal/jobs/crash_test.go
@@ -213,3 +213,40 @@
 		t.Errorf("%d suspects after restarts of a cordoned target, want none", len(got))
 	}
 }
+
+// Guards against a job that is given up because its task is tried on targets that are silent but not known to be lost.
+func TestSilentTargetsGetNoTrial(t *testing.T) {
+	const (
+		suspected = work.JobID("0000000000000001")
+		alive     = work.TargetID("t3") // reports when it is asked
+	)
+	h := newHarness(t, 4)
+	h.submit(smallStep)
+	for range 30 {
+		h.now = h.now.Add(100 * time.Millisecond)
+		h.pool.Tick(h.now)
+		h.pool.Plan(h.now)
+		if records, write := h.beginWrite(); records > 0 {
+			h.pool.MarkDurable(h.now, write)
+		}
+		for _, cmd := range h.pool.TakeCommands() {
+			switch cmd := cmd.(type) {
+			case ProbeCommand:
+				if cmd.Target == alive {
+					h.deliverReport(alive)
+				}
+			case StartCommand:
+				if cmd.Target == alive {
+					return
+				}
+				h.pool.HandleStartResult(h.now, cmd.Target, cmd.Task, cmd.Attempt, StartNoResponse)
+				h.now = h.now.Add(300 * time.Millisecond)
+				h.pool.HandleRestart(h.now, cmd.Target, 1001) // its VM is listed as down
+			}
+		}
+		if state, _ := h.pool.State(suspected, h.pool.durable); state == work.Failed {
+			t.Fatal("the job is given up for targets that were lost before its task reached them")
+		}
+	}
+	t.Error("the task doesn't start on the target that answers")
+}
--- a/internal/jobs/event.go
+++ b/internal/jobs/event.go
@@ -26,6 +26,7 @@
 	EventSuspect           EventKind = "suspect"            // a run makes too little progress and is stopped
 	EventSuccessor         EventKind = "successor"          // a newer target is registered on the VM of a target, which is asked whether it has ended
 	EventCheckpointIgnored EventKind = "checkpoint_ignored" // a checkpoint is too long to be stored
+	EventTrialUnanswered   EventKind = "trial_unanswered"   // a target that was to be used for the trial of a task doesn't answer
 	EventCrash             EventKind = "crash"              // a target has crashed shortly after it had started a task
 )
 
--- a/internal/jobs/pool_test.go
+++ b/internal/jobs/pool_test.go
@@ -107,13 +107,10 @@
 	return nil
 }
 
-// planAndCarryOut plans, makes all changes durable and carries out the commands.
+// planAndCarryOut plans, makes all changes durable and carries out the commands. The targets answer probes, after which it
+// plans again.
 func (h *harness) planAndCarryOut() (started []StartCommand) {
-	h.pool.Plan(h.now)
-	if records, write := h.beginWrite(); records > 0 {
-		h.pool.MarkDurable(h.now, write)
-	}
-	for _, cmd := range h.pool.TakeCommands() {
+	for _, cmd := range h.planWithProbes() {
 		switch cmd := cmd.(type) {
 		case StartCommand:
 			started = append(started, cmd)
@@ -146,12 +143,29 @@
 	return start
 }
 
+// planWithProbes plans and makes all changes durable until no target is probed any more, and returns the other commands.
+func (h *harness) planWithProbes() (commands []Command) {
+	for probed := true; probed; {
+		probed = false
+		h.pool.Plan(h.now)
+		if records, write := h.beginWrite(); records > 0 {
+			h.pool.MarkDurable(h.now, write)
+		}
+		for _, cmd := range h.pool.TakeCommands() {
+			if probe, ok := cmd.(ProbeCommand); ok {
+				probed = true
+				h.deliverReport(probe.Target)
+				continue
+			}
+			commands = append(commands, cmd)
+		}
+	}
+	return commands
+}
+
 // startUnheard sends a start command that gets no response.
 func (h *harness) startUnheard() StartCommand {
-	h.pool.Plan(h.now)
-	_, write := h.beginWrite()
-	h.pool.MarkDurable(h.now, write)
-	start := h.pool.TakeCommands()[0].(StartCommand)
+	start := h.planWithProbes()[0].(StartCommand)
 	h.pool.HandleStartResult(h.now, start.Target, start.Task, start.Attempt, StartNoResponse)
 	return start
 }
@@ -346,6 +360,7 @@
 				t.Fatalf("started %v, want one task", started)
 			}
 			target := started[0].Target
+			h.crashes[target], h.runs[target] = 1000, nil // incarnation 2000 answers probes
 			h.pool.HandleRunReport(h.now, work.RunReport{Target: target, Incarnation: 2000, RequestedAt: requested})
 			h.now = h.now.Add(planPauseInTests)
 			if got := h.planAndCarryOut(); len(got) != 0 {
--- a/internal/jobs/target.go
+++ b/internal/jobs/target.go
@@ -247,6 +247,9 @@
 		return // a later report has been handled; ends that only this one names are reported again
 	}
 	t.reportRequestedAt = report.RequestedAt
+	if t.trial != nil {
+		p.replan = true // its suspect may start now
+	}
 	if t.reportedIncarnation != report.Incarnation {
 		p.handleNewIncarnation(now, t, report.Incarnation)
 	}
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -379,6 +379,11 @@
 		id = cmd.Target
 	case jobs.PaceCommand:
 		id = cmd.Target
+	case jobs.ProbeCommand:
+		if h := p.agents[cmd.Target]; h != nil {
+			h.Probe()
+		}
+		return
 	case jobs.AdviceRequest:
 		s.requestAdvice(p, cmd)
 		return
