jobd: a weaker daemon stands by for owners that the log has named, however busy it is

Cause: a daemon on a VM of a fifth of a core that starts while its zone is cut off joins the group when the zone is back, if fewer than three stronger daemons answer its pings within 200 ms for 1.5 s. It is busy with its start, so its own delay counts as their silence. Then it owns a partition, is far overloaded, and gives it back only when a later check, with the same pings, finds three. Change: stronger daemons that own partitions, as read less than 4 s ago, count as running without a ping; the announced VMs that were read last hold if they can't be read again; a start waits until the owners have been read once. Measured: TestBusyWeakerDaemonStandsByForOwners failed before ('stands by: false, want true') and passes; the tests of jobd pass.

--- a/internal/jobd/owners.go
+++ b/internal/jobd/owners.go
@@ -91,6 +91,24 @@
 	return out
 }
 
+// HasRead reports whether the owners have been read, from the log or another daemon.
+func (o *ownerTable) HasRead() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return !o.readAt.IsZero()
+}
+
+// AddressesSince returns the peer addresses of all known owners if they were read at a time or later, and none otherwise.
+func (o *ownerTable) AddressesSince(t time.Time) []string {
+	o.mu.Lock()
+	old := o.readAt.Before(t)
+	o.mu.Unlock()
+	if old {
+		return nil
+	}
+	return o.Addresses()
+}
+
 // Loaded reports whether any owner is known.
 func (o *ownerTable) Loaded() bool {
 	o.mu.Lock()
--- a/internal/jobd/standby.go
+++ b/internal/jobd/standby.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -36,6 +37,9 @@
 	startupWait = 1500 * time.Millisecond
 	// startupPause is the time between two checks for them.
 	startupPause = 150 * time.Millisecond
+	// ownersValidity is for how long after a read of the owners those count as running. They are read every
+	// ownersReadPeriod.
+	ownersValidity = 2 * ownersReadPeriod
 )
 
 // standby decides whether this daemon stands by, that is, leaves the partitions to daemons on stronger VMs. It is needed
@@ -50,9 +54,10 @@
 	Clock       clock.Clock
 	Logger      hclog.Logger
 
-	on            atomic.Bool
-	unownedCount  int // consecutive checks that found partitions without an owner
-	strongerCount int // announced stronger daemons, whether they answer or not
+	on           atomic.Bool
+	unownedCount int      // consecutive checks that found partitions without an owner
+	stronger     []string // addresses of the announced stronger daemons, as last read, whether they answer or not
+	strongerRead bool     // stronger has been read
 }
 
 // vmRecord describes the VM of a daemon.
@@ -94,9 +99,9 @@
 	return s.Log.Append(ctx, to, plog.Writer{}, []plog.Record{{Key: s.PeerAddress, Value: value}})
 }
 
-// check decides anew whether to stand by: if at least minStronger of the announced stronger daemons answer. A daemon that
-// stands by continues to do so while all partitions have an owner. The result is false if the announced VMs could not be
-// read.
+// check decides anew whether to stand by: if at least minStronger of the announced stronger daemons own partitions or
+// answer. A daemon that stands by continues to do so while all partitions have an owner. The result is false if the
+// announced VMs have never been read.
 func (s *standby) check(ctx context.Context) bool {
 	if s.CPU == 0 {
 		return true // the capacity of this VM is not known
@@ -110,31 +115,37 @@
 			return true
 		}
 	}
-	peers, err := s.strongerPeers(ctx)
-	if err != nil {
-		s.Logger.Info("cannot read the announced VMs", "error", err)
+	if peers, err := s.strongerPeers(ctx); err == nil {
+		s.stronger, s.strongerRead = peers, true
+	} else {
+		s.Logger.Info("cannot read the announced VMs", "error", err, "known", len(s.stronger))
+	}
+	if !s.strongerRead {
 		return false
 	}
-	s.strongerCount = len(peers)
-	answering := s.countAnswering(ctx, peers)
-	on := answering >= minStronger
+	owning, rest := s.splitOwners(s.stronger)
+	running := len(owning)
+	if running < minStronger {
+		running += s.countAnswering(ctx, rest)
+	}
+	on := running >= minStronger
 	if on != s.on.Swap(on) {
-		s.Logger.Info("standby changed", "on", on, "stronger", answering, "cpu", s.CPU)
+		s.Logger.Info("standby changed", "on", on, "stronger", running, "owning", len(owning), "cpu", s.CPU)
 	}
 	s.unownedCount = 0
 	return true
 }
 
-// awaitStronger repeats the check until enough stronger daemons answer, or they have had startupWait to do so, so that a
-// weaker daemon doesn't join the group only to leave it. While the log can't be reached it goes on waiting, which delays
+// awaitStronger repeats the check until enough stronger daemons own partitions or answer, or they have had startupWait to
+// do so, so that a weaker daemon doesn't join the group only to leave it. While the log can't be reached it goes on waiting, which delays
 // nothing: joining needs the log as well.
 func (s *standby) awaitStronger(ctx context.Context) {
 	var readAt time.Time
 	for {
-		if s.check(ctx) && readAt.IsZero() {
+		if s.check(ctx) && s.Owners.HasRead() && readAt.IsZero() {
 			readAt = s.Clock.Now()
 		}
-		if s.CPU == 0 || !readAt.IsZero() && (s.on.Load() || s.strongerCount < minStronger || s.Clock.Now().Sub(readAt) >= startupWait) {
+		if s.CPU == 0 || s.on.Load() || !readAt.IsZero() && (len(s.stronger) < minStronger || s.Clock.Now().Sub(readAt) >= startupWait) {
 			return
 		}
 		if clock.Sleep(ctx, s.Clock, startupPause) != nil {
@@ -171,6 +182,20 @@
 	}
 }
 
+// splitOwners returns which of the peers own partitions, as the log has said recently, and the others. The log takes the
+// partitions of a daemon away that it doesn't hear, however busy this one is.
+func (s *standby) splitOwners(peers []string) (owning, rest []string) {
+	owners := s.Owners.AddressesSince(s.Clock.Now().Add(-ownersValidity))
+	for _, addr := range peers {
+		if slices.Contains(owners, addr) {
+			owning = append(owning, addr)
+		} else {
+			rest = append(rest, addr)
+		}
+	}
+	return owning, rest
+}
+
 // countAnswering counts the peers that answer a ping.
 func (s *standby) countAnswering(ctx context.Context, peers []string) int {
 	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
--- a/internal/jobd/standby_test.go
+++ b/internal/jobd/standby_test.go
@@ -126,3 +126,37 @@
 		t.Error("joins before it has read the announced VMs")
 	}
 }
+
+// Guards against a weaker daemon that is too busy to have its pings answered in time: it took a partition, and jobs were
+// without an owner that could serve them (grown/carretilla-quito-grown, scale-1, seed 239037201).
+func TestBusyWeakerDaemonStandsByForOwners(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		age  time.Duration // of the owner table
+		want bool
+	}{{"owners of this moment", 0, true}, {"owners of a while ago", 2 * ownersValidity, false}} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			log := &fakes.Log{}
+			table := &ownerTable{byPartition: map[plog.TopicPartition]string{}, readAt: time.Now().Add(-test.age), Clock: clock.System()}
+			for n := range minStronger {
+				addr := local.Addr() // nothing answers there
+				if err := (&standby{Log: log, PeerAddress: addr, CPU: 800}).announce(t.Context()); err != nil {
+					t.Fatal(err)
+				}
+				table.byPartition[plog.TopicPartition{Topic: "t", Partition: plog.Partition(n)}] = addr
+			}
+			weak := &standby{
+				Log: log, PeerAddress: local.Addr(), CPU: 192, PeerClient: &link.Client{}, Owners: table, Partitions: minStronger, Clock: clock.System(), Logger: hclog.NewNullLogger(),
+			}
+			if weak.awaitStronger(t.Context()); weak.On() != test.want {
+				t.Errorf("stands by: %v, want %v", weak.On(), test.want)
+			}
+			log.BeforeCall = func(string, plog.TopicPartition) (bool, error) { return false, plog.ErrNoResponse }
+			weak.on.Store(false)
+			if weak.check(t.Context()); weak.On() != test.want {
+				t.Errorf("stands by: %v while the announced VMs can't be read once more, want %v", weak.On(), test.want)
+			}
+		})
+	}
+}
