jobd: a request waits for a version for 200 ms at most

Cause: a request for a route that version 3 lacks waits for evidence, up to two reads of an eighth of the bound (500 ms here). Since it is decided anew when a newer version has come, though the read has failed: it came at 7.246 s and got 200 by version 5 at 7.758 s. Version 5 had come from a peer at 7.564 s. A request of 7.496 s was answered by version 3 at 7.506 s. No client saw version 5 before, but the earlier request was answered by the later version. Change: no request waits longer than 200 ms after its arrival; then one that needs evidence is rejected with 503, as it is known not to be served in time. The shared read goes on for those after it, and is repeated on a connection of its own after 100 ms instead of a sixteenth of the bound, so that silent connections leave time for an answer. Measured: TestRequestDoesNotWaitForALaterVersion failed before (500 ms, want 250 at most) and passes; the tests of jobd pass.

--- a/internal/jobd/configuration.go
+++ b/internal/jobd/configuration.go
@@ -76,8 +76,8 @@
 	denialsWithinTarget       = 20
 	readTimeoutsWithinTarget  = 8
 	failurePausesWithinTarget = 8
-	// repeatsWithinReadTimeout divides the timeout of a read into the times after which it is repeated.
-	repeatsWithinReadTimeout = 2
+	// repeatsWithinDecision divides maxDecisionWait into the times after which a read without an answer is repeated.
+	repeatsWithinDecision = 2
 )
 
 var (
@@ -196,7 +196,7 @@
 // readLog reads the versions that the log has beyond the one in force. Open connections to the log may have gone silent, so
 // that the read is soon repeated on others.
 func (c *configuration) readLog(ctx context.Context) error {
-	step := c.check.Timeout / repeatsWithinReadTimeout
+	const step = maxDecisionWait / repeatsWithinDecision
 	read, err := hedge.Do(ctx, hedge.Policy{After: step, Interval: step, Clock: c.Clock, Logger: c.Logger}, func(ctx context.Context, n int) (logRead, error) {
 		if n > 0 {
 			ctx = plog.Repeat(ctx)
--- a/internal/jobd/decision.go
+++ b/internal/jobd/decision.go
@@ -37,6 +37,10 @@
 // whether there is a newer one: while the operators' records can't be read, they can hardly be written.
 const outageExtension = 5 * time.Second
 
+// maxDecisionWait is how long after its arrival a request waits for evidence. Of two requests, the one that came later by
+// more than that isn't answered by the older version.
+const maxDecisionWait = 200 * time.Millisecond
+
 // Decide selects the queue of a request by the configuration in force. The error is [ErrNoConfig] if there is none.
 func (s *Service) Decide(host, path string) (*Decision, error) {
 	d := &Decision{service: s, config: s.Config.snapshot(), arrived: s.Clock.Now(), host: host, path: path}
@@ -70,6 +74,8 @@
 // version is in force, the decision learns when it was last confirmed.
 func (d *Decision) confirm(ctx context.Context, maxAge time.Duration) error {
 	c := d.service.Config
+	ctx, cancel := context.WithTimeout(ctx, maxDecisionWait-c.Clock.Now().Sub(d.arrived))
+	defer cancel()
 	newest := c.check.NewestSince(ctx, d.arrived.Add(-maxAge))
 	now := c.snapshot()
 	if now.version() != d.config.version() {
--- a/internal/jobd/decision_test.go
+++ b/internal/jobd/decision_test.go
@@ -9,6 +9,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/toucanhatch/toucanhatch/internal/clock"
+	"github.com/toucanhatch/toucanhatch/internal/fakes"
 	"github.com/toucanhatch/toucanhatch/internal/plog"
 	"github.com/toucanhatch/toucanhatch/internal/work"
 	"github.com/toucanhatch/toucanhatch/pkg/ident"
@@ -136,3 +137,30 @@
 	<-ctx.Done()
 	return plog.Batch{}, plog.ErrNoResponse
 }
+
+// Guards against a request that waits for a version and is answered by it after a later one was answered by the version
+// before (large/umurimo-hatch-large, scale-2, seed 12777284).
+func TestRequestDoesNotWaitForALaterVersion(t *testing.T) {
+	log := &fakes.Log{BeforeCall: func(string, plog.TopicPartition) (bool, error) {
+		time.Sleep(time.Second)
+		return false, plog.ErrNoResponse
+	}}
+	c := newTestConfigurationWithin(log, 4*time.Second)
+	c.apply(0, configRecord("1"))
+	c.confirm(time.Now().Add(-c.ApplyWithin))
+	s := &Service{Config: c, Clock: clock.System(), Logger: hclog.NewNullLogger()}
+	for name, wait := range map[string]func(context.Context, *Decision) error{
+		"a denial":  func(ctx context.Context, d *Decision) error { return d.Deny(ctx, 404) },
+		"an effect": func(ctx context.Context, d *Decision) error { return d.mayAct(ctx) },
+		"a look-up": func(ctx context.Context, d *Decision) error { return d.mayRead(ctx) },
+	} {
+		began := time.Now()
+		if err := wait(t.Context(), mustDecide(t, s, "/other/1")); errors.Is(err, ErrSuperseded) {
+			t.Errorf("%s: error %v", name, err)
+		}
+		if got, limit := time.Since(began), maxDecisionWait+50*time.Millisecond; got > limit {
+			t.Errorf("%s waits for %v, want at most %v", name, got, limit)
+		}
+		time.Sleep(c.check.Timeout + c.check.FailurePause) // until the log is asked again
+	}
+}
