--- a/internal/jobd/standby.go
+++ b/internal/jobd/standby.go
@@ -137,8 +137,8 @@
 }
 
 // awaitStronger repeats the check until enough stronger daemons own partitions or answer, or they have had startupWait to
-// do so, so that a weaker daemon doesn't join the group only to leave it. While the log can't be reached it goes on waiting, which delays
-// nothing: joining needs the log as well.
+// do so, so that a weaker daemon doesn't join the group only to leave it. While the log can't be reached it goes on waiting,
+// which delays nothing: joining needs the log as well.
 func (s *standby) awaitStronger(ctx context.Context) {
 	var readAt time.Time
 	for {
