--- a/internal/jobd/configuration.go
+++ b/internal/jobd/configuration.go
@@ -207,6 +207,7 @@
 		return r, err
 	})
 	if err != nil {
+		countTransfer(sourceLog, transferGivenUp, 0)
 		return err
 	}
 	for i, r := range read.Records {
@@ -335,6 +336,7 @@
 func (c *configuration) applyConfig(value []byte, from configSource) int64 {
 	next, err := c.decode(value)
 	if err != nil {
+		countTransfer(from, transferUnusable, len(value))
 		c.Logger.Error("cannot decode the configuration; the previous one stays in use", "version", c.version(), "source", from, "error", err)
 		return 0
 	}
@@ -344,11 +346,14 @@
 	var unconfirmed time.Duration
 	if s := c.snapshot(); s.table != nil {
 		if version <= s.version() {
+			countTransfer(from, transferKnown, len(value))
+			c.Logger.Info("the configuration has been received again", "version", version, "in_force", s.version(), "source", from, "bytes", len(value))
 			return version
 		}
 		next.confirmedAt, unconfirmed = s.confirmedAt, c.ageOf(s)
 	}
 	c.current.Store(next)
-	c.Logger.Info("configuration applied", "version", version, "routes", len(next.table.Queues), "pools", len(next.table.Pools), "source", from, "unconfirmed", unconfirmed)
+	countTransfer(from, transferNewer, len(value))
+	c.Logger.Info("configuration applied", "version", version, "routes", len(next.table.Queues), "pools", len(next.table.Pools), "source", from, "bytes", len(value), "unconfirmed", unconfirmed)
 	return version
 }
--- a/internal/jobd/confpeers.go
+++ b/internal/jobd/confpeers.go
@@ -79,9 +79,14 @@
 func (c *configuration) askPeer(ctx context.Context, addr string) {
 	sent := c.Clock.Now()
 	r, err := link.Call[configReply](ctx, c.PeerClient, addr, methodConfig, configQuery{Version: c.version()})
-	if err != nil || r.Version == 0 {
+	if err != nil {
+		countTransfer(sourcePeer, transferGivenUp, 0)
+		c.Logger.Info("a peer has not sent its configuration", "peer", addr, "version", c.version(), "waited", c.Clock.Now().Sub(sent), "error", err)
 		return // another daemon may have it
 	}
+	if r.Version == 0 {
+		return
+	}
 	if len(r.Encoded) > 0 {
 		c.Logger.Info("a peer has a newer configuration", "peer", addr, "version", r.Version, "unconfirmed", r.Age)
 		c.applyConfig(r.Encoded, sourcePeer)
--- a/internal/jobd/metrics.go
+++ b/internal/jobd/metrics.go
@@ -22,6 +22,8 @@
 	jobsLate          = expvar.NewMap("jobs_late")    // by queue
 	configVersion     = expvar.NewInt("config_version")
 	configAge         = expvar.NewInt("config_unconfirmed_ms") // since the configuration was known to be the newest
+	configTransfers   = expvar.NewMap("config_transfers")      // by source and outcome
+	configBytes       = expvar.NewMap("config_transfer_bytes") // of whole versions, by source and outcome
 	requestLatencies  hist.Set[link.Method]
 	logLatencies      hist.Set[string]
 	writeLatencies    hist.Set[string]
@@ -49,6 +51,22 @@
 	requestLatencies.Record(m, took)
 }
 
+// transferOutcome is what became of a transfer of the configuration.
+type transferOutcome string
+
+const (
+	transferNewer    transferOutcome = "newer"    // the version is in force
+	transferKnown    transferOutcome = "known"    // that version, or a newer one, was in force
+	transferUnusable transferOutcome = "unusable" // it can't be decoded
+	transferGivenUp  transferOutcome = "given_up" // it didn't end
+)
+
+func countTransfer(from configSource, o transferOutcome, size int) {
+	key := string(from) + " " + string(o)
+	configTransfers.Add(key, 1)
+	configBytes.Add(key, int64(size))
+}
+
 func countEvent(e jobs.Event) {
 	events.Add(string(e.Kind), 1)
 	if e.Kind != jobs.EventCompleted || e.Objective == 0 {
