--- a/internal/jobd/daemon.go
+++ b/internal/jobd/daemon.go
@@ -78,6 +78,8 @@
 	Platform     *Platform
 	Logger       hclog.Logger
 	Clock        clock.Clock
+	// DialPeer, if set, connects to other daemons in place of the net package.
+	DialPeer func(ctx context.Context, network, addr string) (net.Conn, error)
 
 	service   *Service
 	owners    *ownerTable
@@ -187,7 +189,7 @@
 
 func (d *Daemon) build() {
 	s, p := d.Settings, d.Platform
-	peerClient := &link.Client{}
+	peerClient := &link.Client{Dial: d.DialPeer}
 	d.owners = &ownerTable{Log: p.Log, Group: groupName, PeerAddress: s.PeerAddress, PeerClient: peerClient, Clock: d.Clock, Logger: d.Logger, refresh: make(chan struct{}, 1)}
 	d.member = &group.Member{
 		Log: p.Log, Group: groupName, ID: newMemberID(s.PeerAddress, time.Now()), Topics: []plog.Topic{shard.JobsTopic},
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -190,6 +190,9 @@
 
 // Client sends requests to other processes. Its zero value is ready for use.
 type Client struct {
+	// Dial, if set, connects to an address in place of the net package.
+	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
+
 	mu    sync.Mutex
 	conns map[string]*conn
 }
@@ -222,7 +225,7 @@
 	}
 	x = &conn{ready: make(chan struct{}), pending: map[uint64]chan frame{}}
 	c.conns[addr] = x
-	go x.dial(addr)
+	go x.dial(addr, c.Dial)
 	return x
 }
 
@@ -241,11 +244,13 @@
 	return x.broken || x.suspect
 }
 
-func (x *conn) dial(addr string) {
+func (x *conn) dial(addr string, dial func(ctx context.Context, network, addr string) (net.Conn, error)) {
 	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
 	defer cancel()
-	d := &net.Dialer{Control: netopt.UserTimeout(ackTimeout)}
-	client := &http.Client{Transport: &http.Transport{DialContext: d.DialContext, DisableKeepAlives: true, Proxy: nil}}
+	if dial == nil {
+		dial = (&net.Dialer{Control: netopt.UserTimeout(ackTimeout)}).DialContext
+	}
+	client := &http.Client{Transport: &http.Transport{DialContext: dial, DisableKeepAlives: true, Proxy: nil}}
 	// The response of a handshake has no body to close.
 	x.ws, _, x.err = websocket.Dial(ctx, "ws://"+addr+endpointPath, &websocket.DialOptions{HTTPClient: client, CompressionMode: websocket.CompressionDisabled}) //nolint:bodyclose // see above
 	x.dialEnded = time.Now()
