jobd, watch: one transfer of a version at a time, given up only when it stalls

What callers saw: CONFIG, a GET that is handled by a version older than the one confirmed 3 s before; 503 and readiness checks that fail and pass on small VMs.

Cause: limits, repeats and fan-out that were chosen for small messages apply to versions of 280 KB. On a link of 10 Mbit/s one takes 0.22 s, a denial's read was given up after 0.2 to 0.375 s and repeated after 0.1 s, a group of peers after 0.375 s, and each of up to 14 peers sent the whole version on the connection that carries calls and pings. A late process filled its own link and stayed late.

Change: - Package stall: a transfer is given up when no bytes have arrived for a time, and a meter tells when a large one has moved last. hedge starts no further attempt beside one that moves. - Whether there is a newer version costs 16 bytes (plog.Log.End, a read beyond the end of the partition) or a version number of a peer. - A process that is late reads from one peer at a time, compressed, on a connection of its own, and only if no version is on its way. - Superseded versions are not read, known ones not decoded again.

--- a/internal/fakes/log.go
+++ b/internal/fakes/log.go
@@ -14,7 +14,7 @@
 
 // Log is an in-memory plog.Log. Its zero value is ready for use.
 type Log struct {
-	// BeforeCall, if set, runs before each call of Append, Newest, Read and Join, and makes the call fail if it
+	// BeforeCall, if set, runs before each call of Append, Newest, Read, End (as a read) and Join, and makes the call fail if it
 	// returns an error. An append that fails takes effect only if apply is set; other calls that fail have no effect.
 	// For Join, to is zero.
 	BeforeCall func(call string, to plog.TopicPartition) (apply bool, err error)
@@ -177,6 +177,16 @@
 	}
 }
 
+// End implements plog.Log.
+func (l *Log) End(_ context.Context, from plog.TopicPartition) (ident.Offset, error) {
+	if apply, err := l.runHook("read", from); !apply || err != nil {
+		return 0, err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return ident.Offset(len(l.partition(from).records)), nil
+}
+
 // Join implements plog.Log.
 func (l *Log) Join(_ context.Context, m plog.Membership) (plog.Assignment, error) {
 	if apply, err := l.runHook("join", plog.TopicPartition{}); !apply || err != nil {
--- a/internal/fresh/fresh.go
+++ b/internal/fresh/fresh.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/toucanhatch/toucanhatch/internal/clock"
+	"github.com/toucanhatch/toucanhatch/internal/stall"
 )
 
 // Check shows that a copy was the newest at a recent moment. Set its fields before the first call.
@@ -14,7 +15,7 @@
 	ConfirmedAt func() time.Time
 	// Read reads what is newer than the copy from the source and, if it succeeds, moves ConfirmedAt to its start or later.
 	Read func(ctx context.Context) error
-	// Timeout bounds a read.
+	// Timeout bounds the time for which a read makes no progress.
 	Timeout time.Duration
 	// FailurePause is how long after a failed read no other is made, so that callers are not kept waiting for a source that
 	// doesn't answer.
@@ -70,7 +71,7 @@
 
 // run makes a read.
 func (c *Check) run(r *read) {
-	ctx, cancel := context.WithTimeout(context.Background(), c.Timeout)
+	ctx, cancel := stall.WithTimeout(context.Background(), c.Timeout)
 	defer cancel()
 	err := c.Read(ctx)
 	c.mu.Lock()
--- a/internal/hedge/hedge.go
+++ b/internal/hedge/hedge.go
@@ -15,8 +15,11 @@
 type Policy struct {
 	// After is the time from the first attempt to the second, and Interval the time between later ones.
 	After, Interval time.Duration
-	Clock           clock.Clock
-	Logger          hclog.Logger
+	// Moved, if set, reports whether an attempt, or another call for the same, has made progress within a time. No further
+	// attempt is made before it has made none for Interval.
+	Moved  func(within time.Duration) bool
+	Clock  clock.Clock
+	Logger hclog.Logger
 }
 
 // errPanicked is the result of an attempt that ended by a panic.
@@ -59,9 +62,11 @@
 			var zero T
 			return zero, ctx.Err()
 		case <-due:
-			go start(started)
-			started++
-			inFlight++
+			if p.Moved == nil || !p.Moved(p.Interval) {
+				go start(started)
+				started++
+				inFlight++
+			}
 			next = schedule(p.Interval)
 		case r := <-results:
 			inFlight--
--- a/internal/jobd/configuration.go
+++ b/internal/jobd/configuration.go
@@ -1,6 +1,7 @@
 package jobd
 
 import (
+	"bytes"
 	"context"
 	"slices"
 	"sync"
@@ -17,6 +18,7 @@
 	"github.com/toucanhatch/toucanhatch/internal/panics"
 	"github.com/toucanhatch/toucanhatch/internal/plog"
 	"github.com/toucanhatch/toucanhatch/internal/route"
+	"github.com/toucanhatch/toucanhatch/internal/stall"
 	"github.com/toucanhatch/toucanhatch/internal/watch"
 	"github.com/toucanhatch/toucanhatch/internal/work"
 	"github.com/toucanhatch/toucanhatch/pkg/ident"
@@ -34,14 +36,18 @@
 	Clock      clock.Clock
 	Logger     hclog.Logger
 
-	current   atomic.Pointer[configSnapshot] // nil until a configuration has been read
-	watcher   *watch.Watcher
-	check     fresh.Check
-	outdated  atomic.Bool // as last logged
-	mu        sync.Mutex  // held while a snapshot replaces another
-	nextAsk   time.Time   // when peers may be asked again
-	published logVersion
-	announced atomic.Int64 // newest version that another daemon has named
+	current        atomic.Pointer[configSnapshot] // nil until a configuration has been read
+	watcher        *watch.Watcher
+	transfers      *stall.Meter // of whole versions, from the log or a peer
+	transferClient *link.Client // with connections for transfers alone
+	fetching       sync.Mutex   // held during a transfer from a peer
+	decoding       atomic.Int32 // versions that are being decoded
+	check          fresh.Check
+	outdated       atomic.Bool // as last logged
+	mu             sync.Mutex  // held while a snapshot replaces another
+	nextAsk        time.Time   // when peers may be asked again
+	published      logVersion
+	announced      atomic.Int64 // newest version that another daemon has named
 }
 
 // logVersion is the newest version that has been read from the log.
@@ -55,8 +61,9 @@
 // with the age of another one.
 type configSnapshot struct {
 	table       *route.Table
-	encoded     []byte    // as published by the operators
-	confirmedAt time.Time // by the clock of this daemon, the latest time as of which no newer version existed; zero if unknown
+	encoded     []byte        // as published by the operators
+	deflated    func() []byte // returns encoded, compressed
+	confirmedAt time.Time     // by the clock of this daemon, the latest time as of which no newer version existed; zero if unknown
 }
 
 // configSource is where a configuration was read.
@@ -83,14 +90,16 @@
 var (
 	errBehind         = errors.New("another daemon has a newer configuration")
 	errPartRead       = errors.New("the read has returned a part of the records")
+	errLogShorter     = errors.New("the log ends before records that have been read")
 	errReadPanicked   = errors.New("the read ended by a panic")
 	errDecodePanicked = errors.New("the decoding ended by a panic")
 )
 
 func (c *configuration) init() {
+	c.transfers, c.transferClient = &stall.Meter{Clock: c.Clock}, &link.Client{Dial: c.PeerClient.Dial}
 	c.watcher = &watch.Watcher{
 		Log: c.Platform.Log, Partition: c.Platform.OperatorPartition, ApplyWithin: c.ApplyWithin, Clock: c.Clock, Logger: c.Logger,
-		Replace: c.replace, Apply: c.apply, Confirm: c.confirm,
+		Replace: c.replace, Apply: c.apply, Confirm: c.confirm, SkipSuperseded: true, Transfers: c.transfers,
 	}
 	c.check = fresh.Check{
 		ConfirmedAt: c.confirmedAt, Read: c.readNewer,
@@ -182,30 +191,80 @@
 
 // readNewer reads the versions beyond the one in force, apart from the watcher, which waits for them.
 func (c *configuration) readNewer(ctx context.Context) error {
-	err := errReadPanicked
-	panics.Catch(c.Logger, "read of the configuration", func() {
+	return c.guardRead(func() error {
 		if c.behind() {
-			err = c.catchUp(ctx)
-		} else {
-			err = c.readLog(ctx)
+			return c.catchUp(ctx)
 		}
+		return c.readLog(ctx)
 	})
-	return err
 }
 
-// readLog reads the versions that the log has beyond the one in force. Open connections to the log may have gone silent, so
-// that the read is soon repeated on others.
+// readLog asks the log where the operators' records end, and waits for those that have not been read yet. Open connections
+// to the log may have gone silent, so that the question is soon repeated on others.
 func (c *configuration) readLog(ctx context.Context) error {
-	const step = maxDecisionWait / repeatsWithinDecision
-	read, err := hedge.Do(ctx, hedge.Policy{After: step, Interval: step, Clock: c.Clock, Logger: c.Logger}, func(ctx context.Context, n int) (logRead, error) {
+	found, err := hedge.Do(ctx, c.hedgePolicy(nil), func(ctx context.Context, n int) (logEnd, error) {
 		if n > 0 {
 			ctx = plog.Repeat(ctx)
 		}
-		r := logRead{sent: c.Clock.Now()}
+		e := logEnd{sent: c.Clock.Now()}
 		var err error
-		r.Batch, err = c.Platform.Log.Read(ctx, c.Platform.OperatorPartition, c.watcher.Offset(), 0)
-		return r, err
+		e.offset, err = c.Platform.Log.End(ctx, c.Platform.OperatorPartition)
+		return e, err
+	})
+	if err != nil {
+		return err
+	}
+	if err := c.awaitOffset(ctx, found.offset); err != nil {
+		return err
+	}
+	c.confirm(found.sent)
+	return nil
+}
+
+// logEnd is where the operators' records ended, and when that was asked.
+type logEnd struct {
+	offset ident.Offset
+	sent   time.Time
+}
+
+// hedgePolicy is that of reads for which a request waits.
+func (c *configuration) hedgePolicy(moved func(time.Duration) bool) hedge.Policy {
+	const step = maxDecisionWait / repeatsWithinDecision
+	return hedge.Policy{After: step, Interval: step, Moved: moved, Clock: c.Clock, Logger: c.Logger}
+}
+
+// awaitOffset waits until the records before an offset, where they end, have been processed. While none is on its way, it
+// reads them on a new connection.
+func (c *configuration) awaitOffset(ctx context.Context, end ident.Offset) error {
+	if end < c.watcher.Offset() {
+		return errLogShorter
+	}
+	_, err := hedge.Do(ctx, c.hedgePolicy(c.receiving), func(ctx context.Context, n int) (struct{}, error) {
+		if n > 0 {
+			return struct{}{}, c.readRecords(plog.Repeat(ctx))
+		}
+		return struct{}{}, c.await(ctx, func() bool { return c.watcher.Offset() >= end })
 	})
+	return err
+}
+
+// await waits until done returns true. What arrives meanwhile counts as progress of ctx.
+func (c *configuration) await(ctx context.Context, done func() bool) error {
+	for !done() {
+		if c.receiving(transferPollPeriod * 2) {
+			stall.Progress(ctx, 1)
+		}
+		if err := clock.Sleep(ctx, c.Clock, transferPollPeriod); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// readRecords reads the records that the log has after those of the watcher, and applies the versions among them.
+func (c *configuration) readRecords(ctx context.Context) error {
+	sent := c.Clock.Now()
+	read, err := c.Platform.Log.Read(stall.WithMeter(ctx, c.transfers), c.Platform.OperatorPartition, c.watcher.Offset(), 0)
 	if err != nil {
 		countTransfer(sourceLog, transferGivenUp, 0)
 		return err
@@ -218,16 +277,10 @@
 	if !read.Complete() {
 		return errPartRead
 	}
-	c.confirm(read.sent)
+	c.confirm(sent)
 	return nil
 }
 
-// logRead is a batch of the operators' records, and when its read was sent.
-type logRead struct {
-	plog.Batch
-	sent time.Time
-}
-
 // reportAge publishes the version and its age, and logs when the age passes the time in which changes must be in force.
 func (c *configuration) reportAge() {
 	if c.Table() == nil {
@@ -321,11 +374,13 @@
 
 // decode decodes a configuration, and returns an error if that panics.
 func (c *configuration) decode(value []byte) (next *configSnapshot, err error) {
+	c.decoding.Add(1)
+	defer c.decoding.Add(-1)
 	err = errDecodePanicked
 	panics.Catch(c.Logger, "configuration", func() {
 		var config *work.Config
 		if config, err = c.Platform.DecodeConfig(value); err == nil {
-			next = &configSnapshot{table: route.New(config), encoded: value}
+			next = &configSnapshot{table: route.New(config), encoded: value, deflated: sync.OnceValue(func() []byte { return deflate(value) })}
 		}
 	})
 	return next, err
@@ -334,6 +389,10 @@
 // applyConfig puts an encoded configuration in force, unless a newer one is. It returns its version, 0 if it can't be
 // decoded.
 func (c *configuration) applyConfig(value []byte, from configSource) int64 {
+	if s := c.snapshot(); s.table != nil && bytes.Equal(value, s.encoded) {
+		c.noteKnown(s.version(), from, len(value))
+		return s.version()
+	}
 	next, err := c.decode(value)
 	if err != nil {
 		countTransfer(from, transferUnusable, len(value))
@@ -346,8 +405,7 @@
 	var unconfirmed time.Duration
 	if s := c.snapshot(); s.table != nil {
 		if version <= s.version() {
-			countTransfer(from, transferKnown, len(value))
-			c.Logger.Info("the configuration has been received again", "version", version, "in_force", s.version(), "source", from, "bytes", len(value))
+			c.noteKnown(version, from, len(value))
 			return version
 		}
 		next.confirmedAt, unconfirmed = s.confirmedAt, c.ageOf(s)
@@ -357,3 +415,9 @@
 	c.Logger.Info("configuration applied", "version", version, "routes", len(next.table.Queues), "pools", len(next.table.Pools), "source", from, "bytes", len(value), "unconfirmed", unconfirmed)
 	return version
 }
+
+// noteKnown notes that a version has been received although that one, or a newer one, is in force.
+func (c *configuration) noteKnown(version int64, from configSource, size int) {
+	countTransfer(from, transferKnown, size)
+	c.Logger.Info("the configuration has been received again", "version", version, "in_force", c.version(), "source", from, "bytes", size)
+}
--- a/internal/jobd/decision_test.go
+++ b/internal/jobd/decision_test.go
@@ -133,6 +133,11 @@
 // silentLog leaves reads unanswered.
 type silentLog struct{ plog.Log }
 
+func (silentLog) End(ctx context.Context, _ plog.TopicPartition) (ident.Offset, error) {
+	<-ctx.Done()
+	return 0, plog.ErrNoResponse
+}
+
 func (silentLog) Read(ctx context.Context, _ plog.TopicPartition, _ ident.Offset, _ time.Duration) (plog.Batch, error) {
 	<-ctx.Done()
 	return plog.Batch{}, plog.ErrNoResponse
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -17,6 +17,7 @@
 
 	"github.com/toucanhatch/toucanhatch/internal/netopt"
 	"github.com/toucanhatch/toucanhatch/internal/panics"
+	"github.com/toucanhatch/toucanhatch/internal/stall"
 )
 
 // Method is the name of a kind of request.
@@ -141,7 +142,7 @@
 	defer func() { _ = ws.CloseNow() }()
 	ws.SetReadLimit(maxFrame)
 	for {
-		f, err := readFrame(ctx, ws)
+		f, err := readFrame(ctx, ws, nil)
 		if err != nil {
 			return
 		}
@@ -166,15 +167,36 @@
 	}
 }
 
-func readFrame(ctx context.Context, ws *websocket.Conn) (frame, error) {
+// readFrame reads a frame. It calls received, if it is not nil, with the number of bytes each time that some have arrived.
+func readFrame(ctx context.Context, ws *websocket.Conn, received func(n int)) (frame, error) {
 	var f frame
-	_, data, err := ws.Read(ctx)
+	_, r, err := ws.Reader(ctx)
+	if err != nil {
+		return f, err
+	}
+	if received != nil {
+		r = progressReader{r, received}
+	}
+	data, err := io.ReadAll(r)
 	if err != nil {
 		return f, err
 	}
 	return f, cbor.Unmarshal(data, &f)
 }
 
+// progressReader tells how much has been read.
+type progressReader struct {
+	from     io.Reader
+	received func(n int)
+}
+
+// Read implements io.Reader.
+func (r progressReader) Read(p []byte) (int, error) {
+	n, err := r.from.Read(p)
+	r.received(n)
+	return n, err
+}
+
 func writeFrame(ctx context.Context, ws *websocket.Conn, f frame) error {
 	if f.Body == nil {
 		f.Body = cbor.RawMessage{0xf6} // null
@@ -197,6 +219,12 @@
 	conns map[string]*conn
 }
 
+// pendingCall is a request that waits for its response.
+type pendingCall struct {
+	ctx      context.Context
+	response chan frame
+}
+
 type conn struct {
 	ready     chan struct{} // closed when dialing has finished
 	err       error         // the error of dialing, set before ready is closed
@@ -205,8 +233,8 @@
 
 	mu             sync.Mutex
 	nextID         uint64
-	pending        map[uint64]chan frame
-	lastReceived   time.Time
+	pending        map[uint64]pendingCall
+	lastReceived   time.Time // when bytes have last arrived
 	broken         bool
 	suspect        bool // may have gone silent: only the requests in flight still wait for it
 	checkScheduled bool // a call of check is scheduled
@@ -223,7 +251,7 @@
 	if x != nil && !x.replaceable() {
 		return x
 	}
-	x = &conn{ready: make(chan struct{}), pending: map[uint64]chan frame{}}
+	x = &conn{ready: make(chan struct{}), pending: map[uint64]pendingCall{}}
 	c.conns[addr] = x
 	go x.dial(addr, c.Dial)
 	return x
@@ -266,13 +294,12 @@
 func (x *conn) receive() {
 	defer x.shutDown()
 	for {
-		f, err := readFrame(context.Background(), x.ws)
+		f, err := readFrame(context.Background(), x.ws, x.noteProgress)
 		if err != nil {
 			return
 		}
 		x.mu.Lock()
-		x.lastReceived = time.Now()
-		ch := x.pending[f.ID]
+		ch := x.pending[f.ID].response
 		delete(x.pending, f.ID)
 		replaced := x.suspect && len(x.pending) == 0
 		x.mu.Unlock()
@@ -285,6 +312,21 @@
 	}
 }
 
+// noteProgress notes that n bytes have arrived. They bring the requests that wait for the connection forward, whichever of
+// them is answered.
+func (x *conn) noteProgress(n int) {
+	x.mu.Lock()
+	x.lastReceived = time.Now()
+	waiting := make([]context.Context, 0, len(x.pending))
+	for _, p := range x.pending {
+		waiting = append(waiting, p.ctx)
+	}
+	x.mu.Unlock()
+	for _, ctx := range waiting {
+		stall.Progress(ctx, n)
+	}
+}
+
 // check closes the connection if responses are outstanding and nothing has arrived for silenceTimeout, and otherwise sends
 // a ping. It is called every pingPeriod, but only while responses are outstanding, because a process has connections to
 // many others, most of which are idle.
@@ -311,8 +353,8 @@
 		return
 	}
 	x.broken = true
-	for id, ch := range x.pending {
-		close(ch)
+	for id, p := range x.pending {
+		close(p.response)
 		delete(x.pending, id)
 	}
 	go func() { _ = x.ws.CloseNow() }() // may wait for a write in progress
@@ -344,7 +386,7 @@
 		x.checkScheduled = true
 		time.AfterFunc(pingPeriod, x.check)
 	}
-	x.pending[id] = ch
+	x.pending[id] = pendingCall{ctx, ch}
 	x.mu.Unlock()
 	//nolint:contextcheck // canceling a write would close the connection for the other requests
 	if err := writeFrame(context.Background(), x.ws, frame{ID: id, Method: m, Body: body}); err != nil {
--- a/internal/plog/plog.go
+++ b/internal/plog/plog.go
@@ -140,6 +140,8 @@
 	// Read returns records from an offset on, possibly not all of them. If there are none, it waits for the first one up to
 	// wait.
 	Read(ctx context.Context, from TopicPartition, offset ident.Offset, wait time.Duration) (Batch, error)
+	// End returns the offset at which a partition ends. It costs a few bytes, whatever the size of the records.
+	End(ctx context.Context, from TopicPartition) (ident.Offset, error)
 	// Join joins a group or renews the membership.
 	Join(ctx context.Context, m Membership) (Assignment, error)
 	// Leave leaves a group, which assigns the member's partitions to other members at once.
--- a/internal/watch/watcher.go
+++ b/internal/watch/watcher.go
@@ -12,11 +12,12 @@
 	"github.com/toucanhatch/toucanhatch/internal/hedge"
 	"github.com/toucanhatch/toucanhatch/internal/panics"
 	"github.com/toucanhatch/toucanhatch/internal/plog"
+	"github.com/toucanhatch/toucanhatch/internal/stall"
 	"github.com/toucanhatch/toucanhatch/pkg/ident"
 )
 
 const (
-	// answerTimeout is how long after its wait time a read may be answered, by a slow log.
+	// answerTimeout is how long after its wait time a read may make no progress, by a slow log.
 	answerTimeout = 1200 * time.Millisecond
 	retryPause    = 200 * time.Millisecond
 	// readsWithinTarget is into how many intervals a watcher divides ApplyWithin: the wait time of a read, the time for
@@ -47,11 +48,18 @@
 	// them, all that the log had confirmed to its writers before then. After a record that can't be read, or whose
 	// processing panics, the newest records of all keys are read first.
 	Confirm func(sent time.Time)
-	Clock   clock.Clock
-	Logger  hclog.Logger
+	// SkipSuperseded makes the watcher read the newest records of all keys instead of several appended ones, where those may
+	// have come while it was reading a large one or got no answer.
+	SkipSuperseded bool
+	// Transfers, if set, tells when reads of many bytes make progress, these and others of the same partition. A read is not
+	// repeated beside them.
+	Transfers *stall.Meter
+	Clock     clock.Clock
+	Logger    hclog.Logger
 
 	offset      atomic.Int64 // of the next record; those before it have been processed
 	synced      atomic.Bool
+	afterLarge  bool      // the last read has returned many bytes
 	conclusive  bool      // all of the newest records could be read and processed
 	confirmedAt time.Time // when the latest read with an answer was sent
 	failing     atomic.Bool
@@ -87,6 +95,9 @@
 
 // Run reads the partition until ctx is done.
 func (w *Watcher) Run(ctx context.Context) {
+	if w.Transfers == nil {
+		w.Transfers = &stall.Meter{Clock: w.Clock}
+	}
 	for ctx.Err() == nil {
 		if w.Enabled != nil && !w.Enabled() {
 			w.synced.Store(false)
@@ -132,8 +143,8 @@
 // A read without an answer is repeated on a connection of its own.
 func (w *Watcher) readOnce(ctx context.Context) error {
 	step := w.ApplyWithin / readsWithinTarget
-	policy := hedge.Policy{After: 2 * step, Interval: step, Clock: w.Clock, Logger: w.Logger}
-	synced, offset := w.synced.Load(), w.Offset()
+	policy := hedge.Policy{After: 2 * step, Interval: step, Moved: w.Transfers.MovedWithin, Clock: w.Clock, Logger: w.Logger}
+	synced, offset, afterLarge := w.synced.Load(), w.Offset(), w.afterLarge
 	b, err := hedge.Do(ctx, policy, func(ctx context.Context, n int) (batch, error) {
 		if n > 0 {
 			ctx = plog.Repeat(ctx)
@@ -143,6 +154,8 @@
 		switch {
 		case !synced:
 			b, err = w.readNewest(ctx)
+		case w.SkipSuperseded && (n > 0 || afterLarge):
+			b, err = w.readLatest(ctx, offset)
 		case n == 0:
 			b, err = w.readAppended(ctx, offset, step)
 		default:
@@ -179,6 +192,7 @@
 }
 
 func (w *Watcher) process(b batch) {
+	w.afterLarge = isLarge(b.Records)
 	conclusive := w.processRecords(b)
 	w.offset.Store(int64(b.Next))
 	switch {
@@ -216,9 +230,38 @@
 	return all
 }
 
+// readLatest reads the records from an offset on, or the newest records of all keys if there are several, of which some
+// may have been superseded.
+func (w *Watcher) readLatest(ctx context.Context, offset ident.Offset) (batch, error) {
+	callCtx, cancel := context.WithTimeout(ctx, answerTimeout)
+	defer cancel()
+	b := batch{sent: w.Clock.Now()}
+	end, err := w.Log.End(callCtx, w.Partition)
+	switch {
+	case err != nil:
+		return b, err
+	case end == offset:
+		b.Next, b.End = offset, end
+		return b, nil
+	case end == offset+1:
+		return w.readAppended(ctx, offset, 0)
+	default:
+		return w.readNewest(ctx)
+	}
+}
+
+// isLarge reports whether records have so many bytes that others may have been appended while they were read.
+func isLarge(records []plog.Record) bool {
+	var size ident.Bytes
+	for i := range records {
+		size += records[i].Size()
+	}
+	return size >= stall.LargeTransfer
+}
+
 // readAppended reads the records from an offset on, and waits for the first one up to wait.
 func (w *Watcher) readAppended(ctx context.Context, offset ident.Offset, wait time.Duration) (batch, error) {
-	ctx, cancel := context.WithTimeout(ctx, wait+answerTimeout)
+	ctx, cancel := stall.WithTimeout(stall.WithMeter(ctx, w.Transfers), wait+answerTimeout)
 	defer cancel()
 	b := batch{sent: w.Clock.Now()}
 	var err error
@@ -231,7 +274,7 @@
 func (w *Watcher) readNewest(ctx context.Context) (batch, error) {
 	b := batch{sent: w.Clock.Now(), newest: true}
 	for after, first := "", true; ; first = false {
-		callCtx, cancel := context.WithTimeout(ctx, answerTimeout)
+		callCtx, cancel := stall.WithTimeout(stall.WithMeter(ctx, w.Transfers), answerTimeout)
 		page, err := w.Log.Newest(callCtx, w.Partition, after)
 		cancel()
 		if err != nil {
