jobd: no request is answered by a version that is known to be older

What callers saw: a count of a queue that the newest version has dropped gets 200 from a process that has been told of that version and lacks it (CONFIG).

Cause: mayRead ignored that the process is behind, and the pool's owner compared queues with its own version for submissions alone.

Change: a request names its host and path and the newest version that its entry knows of. An owner with a newer version than the one that decided it looks the queue up again, for every method, and carries the request out by that queue; if the queue is another, or the newest known version is neither here nor there, the client gets 503 at once. A process that is late so goes on serving by the owner's version what has not changed.

--- a/internal/jobd/configuration.go
+++ b/internal/jobd/configuration.go
@@ -89,6 +89,7 @@
 
 var (
 	errBehind         = errors.New("another daemon has a newer configuration")
+	errQueueChanged   = errors.New("the newer configuration has no such queue there")
 	errPartRead       = errors.New("the read has returned a part of the records")
 	errLogShorter     = errors.New("the log ends before records that have been read")
 	errReadPanicked   = errors.New("the read ended by a panic")
@@ -172,12 +173,27 @@
 // behind reports whether another daemon has named a version that is newer than the one in force.
 func (c *configuration) behind() bool { return c.announced.Load() > c.version() }
 
-// hasDropped reports whether the configuration in force is newer than a version, and has no such queue for the same pool.
-func (c *configuration) hasDropped(queue work.Queue, version int64) bool {
+// decideAgain returns the queue of a request that another daemon, or this one, has decided by an older version than the one
+// in force. The error says why the request may not be carried out: its queue is not that of the newer version, or a version
+// is known that is newer than both.
+func (c *configuration) decideAgain(m link.Method, req request) (work.Queue, error) {
 	s := c.snapshot()
-	return version > 0 && version < s.version() && !slices.ContainsFunc(s.table.Queues, func(q work.Queue) bool {
-		return q.ID == queue.ID && q.Pool == queue.Pool
-	})
+	switch {
+	case req.Known > max(req.Version, s.version()):
+		return work.Queue{}, errBehind
+	case req.Version == 0 || req.Version >= s.version():
+		return req.Queue, nil
+	case req.Host == "": // of a daemon that doesn't tell
+		if m == methodSubmit && !slices.ContainsFunc(s.table.Queues, func(q work.Queue) bool { return q.ID == req.Queue.ID && q.Pool == req.Queue.Pool }) {
+			return work.Queue{}, errQueueChanged
+		}
+		return req.Queue, nil
+	}
+	queue, rest, found := s.table.Find(req.Host, req.Path)
+	if !found || queue.ID != req.Queue.ID || queue.Pool != req.Queue.Pool || rest != string(req.Job) {
+		return work.Queue{}, errQueueChanged
+	}
+	return queue, nil
 }
 
 // confirmedAt returns the latest time at which the configuration in force was the newest, the zero time if it is known not
--- a/internal/jobd/decision.go
+++ b/internal/jobd/decision.go
@@ -107,8 +107,8 @@
 	return nil
 }
 
-// mayRead returns [ErrSuperseded] if a newer version is in force than that of the decision. A process that can't tell shows
-// jobs by the version that it has.
+// mayRead returns [ErrSuperseded] if a newer version is in force than that of the decision. A process that knows of a newer
+// one leaves it to the pool's owner to decide by that, and one that can't tell shows jobs by the version that it has.
 func (d *Decision) mayRead(ctx context.Context) error {
 	if err := d.mayAct(ctx); errors.Is(err, ErrSuperseded) {
 		return err
@@ -134,7 +134,7 @@
 	switch {
 	case r.Outcome == outcomeOK:
 	case r.Outcome == outcomeSuperseded && !uncertain:
-		err = ErrSuperseded
+		err = d.superseded()
 	case uncertain, r.Outcome == outcomeUndecoded: // an earlier attempt may still be stored, or is
 		err = ErrUnknownOutcome
 	case r.Outcome == outcomeInvalid:
@@ -157,11 +157,13 @@
 	}
 	r, uncertain := s.callOwner(ctx, methodCancel, d.request(id, nil))
 	s.Logger.Info("cancel", "job", id, "queue", d.queue.ID, "outcome", r.Outcome, "unsure", uncertain, "version", d.config.version())
-	switch r.Outcome {
-	case outcomeOK:
+	switch {
+	case r.Outcome == outcomeOK:
 		return true, nil
-	case outcomeNoSuchJob:
+	case r.Outcome == outcomeNoSuchJob:
 		return false, nil
+	case r.Outcome == outcomeSuperseded && !uncertain:
+		return false, d.superseded()
 	default:
 		return false, ErrUnknownOutcome
 	}
@@ -178,6 +180,8 @@
 		return r.State, true, nil
 	case outcomeNoSuchJob:
 		return "", false, nil
+	case outcomeSuperseded:
+		return "", false, d.superseded()
 	default:
 		return "", false, d.service.notRunError(r)
 	}
@@ -189,10 +193,23 @@
 		return 0, err
 	}
 	r, _ := d.service.callOwner(ctx, methodPending, d.request("", nil))
-	if r.Outcome != outcomeOK {
+	switch r.Outcome {
+	case outcomeOK:
+		return r.Pending, nil
+	case outcomeSuperseded:
+		return 0, d.superseded()
+	default:
 		return 0, d.service.notRunError(r)
 	}
-	return r.Pending, nil
+}
+
+// superseded returns the error for a request that the pool's owner has left undone because it knows of a newer version:
+// [ErrSuperseded] if that is in force here by now, and otherwise a [*NotRunError].
+func (d *Decision) superseded() error {
+	if d.service.Config.version() != d.config.version() {
+		return ErrSuperseded
+	}
+	return d.service.notRunError(response{})
 }
 
 // logNotPassed logs that a request was not passed to the pool's owner.
@@ -207,7 +224,8 @@
 
 // request returns the request to the owner of the queue's pool.
 func (d *Decision) request(id work.JobID, spec *work.Spec) request {
-	return request{Job: id, Queue: d.queue, Spec: spec, Version: d.config.version()}
+	version := d.config.version()
+	return request{Job: id, Queue: d.queue, Spec: spec, Version: version, Known: max(version, d.service.Config.announced.Load()), Host: d.host, Path: d.path}
 }
 
 // notRunError returns the error for a request that was not carried out, with the time after which to retry.
--- a/internal/jobd/service.go
+++ b/internal/jobd/service.go
@@ -108,6 +108,9 @@
 	Spec       *work.Spec       `cbor:"3,keyasint,omitempty"`
 	Directives *jobs.Directives `cbor:"4,keyasint,omitempty"` // for methodReport
 	Version    int64            `cbor:"5,keyasint,omitempty"` // of the configuration by which the request was decided
+	Known      int64            `cbor:"6,keyasint,omitempty"` // the newest version that the sender knows of
+	Host       string           `cbor:"7,keyasint,omitempty"`
+	Path       string           `cbor:"8,keyasint,omitempty"`
 }
 
 // response is the owner's response to a [request].
@@ -139,7 +142,7 @@
 		return nil, nil
 	}
 	return link.TypedHandler(func(ctx context.Context, req request) (response, error) {
-		s.Config.noteVersion(req.Version)
+		s.Config.noteVersion(max(req.Version, req.Known))
 		r := s.handleAsOwner(ctx, m, req)
 		r.Version = s.Config.version()
 		return r, nil
@@ -153,12 +156,13 @@
 	if !ok {
 		return response{Outcome: outcomeNotOwner}
 	}
-	if m == methodSubmit && s.Config.hasDropped(req.Queue, req.Version) {
-		s.Logger.Info("a job is decided by a version whose queue has been dropped", "job", req.Job, "queue", req.Queue.ID, "version", req.Version, "newest", s.Config.version())
+	queue, err := s.Config.decideAgain(m, req)
+	if err != nil {
+		s.Logger.Info("a request is decided by a version that is not the newest", "job", req.Job, "method", m, "queue", req.Queue.ID, "version", req.Version, "known", req.Known, "newest", s.Config.version(), "reason", err)
 		return response{Outcome: outcomeSuperseded}
 	}
+	req.Queue = queue
 	var r response
-	var err error
 	found := true
 	switch m {
 	case methodSubmit:
