shard: a page of a takeover is given up only when it stalls

What callers see: jobs of a partition are refused as long as only daemons on slow links can own it.

Cause: a page of the newest records has up to 1 MB, 1.4 MB in the log's JSON, and takes 1.1 s of a 10 Mbit/s link that does nothing else; each call had one second, so that no attempt ever ended.

Evidence: TestLargePartitionIsTakenOverOnSlowLink hung before (the daemon serves the queue not within 5 s, and its end was not reached in 40 s), and passes.

--- a/internal/shard/write.go
+++ b/internal/shard/write.go
@@ -13,6 +13,7 @@
 	"github.com/toucanhatch/toucanhatch/internal/jobs"
 	"github.com/toucanhatch/toucanhatch/internal/panics"
 	"github.com/toucanhatch/toucanhatch/internal/plog"
+	"github.com/toucanhatch/toucanhatch/internal/stall"
 	"github.com/toucanhatch/toucanhatch/internal/work"
 	"github.com/toucanhatch/toucanhatch/pkg/ident"
 )
@@ -20,7 +21,7 @@
 const (
 	// writerName is the same for all owners; their epochs differ.
 	writerName = "owner"
-	// takeoverTimeout bounds one call to the log at a takeover.
+	// takeoverTimeout bounds the time for which a call to the log at a takeover makes no progress.
 	takeoverTimeout = time.Second
 	// retryPause is the time between two attempts of such a call.
 	retryPause = 50 * time.Millisecond
@@ -356,7 +357,7 @@
 // retry repeats a call until it succeeds, the shard ends, or a later owner has fenced this one.
 func (s *Shard) retry(f func(ctx context.Context) error) error {
 	for {
-		ctx, cancel := context.WithTimeout(s.ctx, takeoverTimeout)
+		ctx, cancel := stall.WithTimeout(s.ctx, takeoverTimeout)
 		err := f(ctx)
 		cancel()
 		if err == nil || errors.Is(err, plog.ErrFenced) {
