jobd, watch: all reads of the log's versions are the watcher's

A request that waits for a version hurries the watcher, which repeats its read on a new connection unless it makes progress, and reads the newest records of all keys after a failure. The first read that ends cancels the others.

TestUnconfirmedConfigurationDeniesNoQueue has a process that is behind because its polls are not answered, in place of one that never reads the log: reading is no longer the request's own. It denies by the version that it reads then, as before; a request that takes the old version for the newest fails it as well.

--- a/internal/hedge/hedge.go
+++ b/internal/hedge/hedge.go
@@ -17,7 +17,9 @@
 	After, Interval time.Duration
 	// Moved, if set, reports whether an attempt, or another call for the same, has made progress within a time. No further
 	// attempt is made before it has made none for Interval.
-	Moved  func(within time.Duration) bool
+	Moved func(within time.Duration) bool
+	// Hurry, if set, makes the next attempt due when it receives.
+	Hurry  <-chan struct{}
 	Clock  clock.Clock
 	Logger hclog.Logger
 }
@@ -61,6 +63,9 @@
 		case <-ctx.Done():
 			var zero T
 			return zero, ctx.Err()
+		case <-p.Hurry:
+			next.Stop()
+			next = schedule(0)
 		case <-due:
 			if p.Moved == nil || !p.Moved(p.Interval) {
 				go start(started)
--- a/internal/jobd/configuration.go
+++ b/internal/jobd/configuration.go
@@ -90,7 +90,6 @@
 var (
 	errBehind         = errors.New("another daemon has a newer configuration")
 	errQueueChanged   = errors.New("the newer configuration has no such queue there")
-	errPartRead       = errors.New("the read has returned a part of the records")
 	errLogShorter     = errors.New("the log ends before records that have been read")
 	errReadPanicked   = errors.New("the read ended by a panic")
 	errDecodePanicked = errors.New("the decoding ended by a panic")
@@ -102,6 +101,7 @@
 		Log: c.Platform.Log, Partition: c.Platform.OperatorPartition, ApplyWithin: c.ApplyWithin, Clock: c.Clock, Logger: c.Logger,
 		Replace: c.replace, Apply: c.apply, Confirm: c.confirm, SkipSuperseded: true, Transfers: c.transfers,
 	}
+	c.watcher.Init()
 	c.check = fresh.Check{
 		ConfirmedAt: c.confirmedAt, Read: c.readNewer,
 		Timeout: c.ApplyWithin / readTimeoutsWithinTarget, FailurePause: c.ApplyWithin / failurePausesWithinTarget, Clock: c.Clock,
@@ -249,15 +249,14 @@
 	return hedge.Policy{After: step, Interval: step, Moved: moved, Clock: c.Clock, Logger: c.Logger}
 }
 
-// awaitOffset waits until the records before an offset, where they end, have been processed. While none is on its way, it
-// reads them on a new connection.
+// awaitOffset waits until the watcher has read the records before an offset, where they end.
 func (c *configuration) awaitOffset(ctx context.Context, end ident.Offset) error {
 	if end < c.watcher.Offset() {
 		return errLogShorter
 	}
 	_, err := hedge.Do(ctx, c.hedgePolicy(c.receiving), func(ctx context.Context, n int) (struct{}, error) {
 		if n > 0 {
-			return struct{}{}, c.readRecords(plog.Repeat(ctx))
+			c.watcher.Hurry()
 		}
 		return struct{}{}, c.await(ctx, func() bool { return c.watcher.Offset() >= end })
 	})
@@ -277,26 +276,6 @@
 	return nil
 }
 
-// readRecords reads the records that the log has after those of the watcher, and applies the versions among them.
-func (c *configuration) readRecords(ctx context.Context) error {
-	sent := c.Clock.Now()
-	read, err := c.Platform.Log.Read(stall.WithMeter(ctx, c.transfers), c.Platform.OperatorPartition, c.watcher.Offset(), 0)
-	if err != nil {
-		countTransfer(sourceLog, transferGivenUp, 0)
-		return err
-	}
-	for i, r := range read.Records {
-		if !c.Platform.IsWaveKey(r.Key) {
-			c.apply(read.Offset(i), r)
-		}
-	}
-	if !read.Complete() {
-		return errPartRead
-	}
-	c.confirm(sent)
-	return nil
-}
-
 // reportAge publishes the version and its age, and logs when the age passes the time in which changes must be in force.
 func (c *configuration) reportAge() {
 	if c.Table() == nil {
--- a/internal/jobd/configuration_test.go
+++ b/internal/jobd/configuration_test.go
@@ -15,6 +15,7 @@
 	"github.com/toucanhatch/toucanhatch/internal/link"
 	"github.com/toucanhatch/toucanhatch/internal/plog"
 	"github.com/toucanhatch/toucanhatch/internal/work"
+	"github.com/toucanhatch/toucanhatch/pkg/ident"
 )
 
 const testConfigKey = "config"
@@ -73,15 +74,30 @@
 	return &fakes.Log{BeforeCall: func(string, plog.TopicPartition) (bool, error) { return false, plog.ErrRefused }}
 }
 
+// unansweredPollsLog leaves reads unanswered that wait for records.
+type unansweredPollsLog struct{ fakes.Log }
+
+func (l *unansweredPollsLog) Read(ctx context.Context, from plog.TopicPartition, offset ident.Offset, wait time.Duration) (plog.Batch, error) {
+	if wait > 0 {
+		<-ctx.Done()
+		return plog.Batch{}, plog.ErrNoResponse
+	}
+	return l.Log.Read(ctx, from, offset, wait)
+}
+
 // Guards against a queue that is denied by a configuration of which the process can know that it is old.
 func TestUnconfirmedConfigurationDeniesNoQueue(t *testing.T) {
 	log := &fakes.Log{}
 	refusing := refusingLog()
-	current, behind, outdated := newTestConfiguration(log), newTestConfiguration(log), newTestConfiguration(refusing)
+	pollsUnanswered := &unansweredPollsLog{}
+	current, behind, outdated := newTestConfiguration(log), newTestConfiguration(pollsUnanswered), newTestConfiguration(refusing)
 	publish(t, log, current, "1")
-	go current.Run(t.Context())
-	current.watcher.WaitSynced(t.Context())
-	behind.apply(0, configRecord("0"))
+	publish(t, pollsUnanswered, behind, "0")
+	for _, c := range []*configuration{current, behind} {
+		go c.Run(t.Context())
+		c.watcher.WaitSynced(t.Context())
+	}
+	publish(t, pollsUnanswered, behind, "1")
 	outdated.apply(0, configRecord("1"))
 
 	for _, test := range []struct {
--- a/internal/jobd/confpeers.go
+++ b/internal/jobd/confpeers.go
@@ -13,7 +13,6 @@
 	"github.com/toucanhatch/toucanhatch/internal/hedge"
 	"github.com/toucanhatch/toucanhatch/internal/link"
 	"github.com/toucanhatch/toucanhatch/internal/panics"
-	"github.com/toucanhatch/toucanhatch/internal/plog"
 	"github.com/toucanhatch/toucanhatch/internal/stall"
 )
 
@@ -210,7 +209,7 @@
 }
 
 // catchUp waits until the version in force is not behind any more. As long as no version is on its way, it reads the
-// configuration from one peer after the other, and from the log on a new connection.
+// configuration from one peer after the other, and has the watcher repeat its read.
 func (c *configuration) catchUp(ctx context.Context) error {
 	policy := c.hedgePolicy(c.receiving)
 	if c.watcher.Failing() {
@@ -218,19 +217,16 @@
 	}
 	peers := c.SomePeers(maxConfigPeers)
 	_, err := hedge.Do(ctx, policy, func(ctx context.Context, n int) (struct{}, error) {
-		const reading, fetching, repeating = 0, 1, 2 // the attempts; those after them fetch
 		switch {
-		case n == reading:
+		case n == 0:
 			return struct{}{}, c.await(ctx, func() bool { return !c.behind() })
-		case n == repeating && !c.watcher.Failing():
-			return struct{}{}, c.readRecords(plog.Repeat(ctx))
-		case n == fetching || n > repeating:
-			if len(peers) == 0 {
-				return struct{}{}, errBehind
-			}
-			return struct{}{}, c.fetch(ctx, peers[n%len(peers)])
+		case len(peers) == 0:
+			c.watcher.Hurry()
+			return struct{}{}, errBehind
+		case n > 1:
+			c.watcher.Hurry()
 		}
-		return struct{}{}, errBehind
+		return struct{}{}, c.fetch(ctx, peers[n%len(peers)])
 	})
 	return err
 }
--- a/internal/watch/watcher.go
+++ b/internal/watch/watcher.go
@@ -64,10 +64,20 @@
 	confirmedAt time.Time // when the latest read with an answer was sent
 	failing     atomic.Bool
 	wake        chan struct{}
+	hurry       chan struct{}
 }
 
-// Init prepares the watcher; without it, [Watcher.Wake] has no effect.
-func (w *Watcher) Init() { w.wake = make(chan struct{}, 1) }
+// Init prepares the watcher; without it, [Watcher.Wake] and [Watcher.Hurry] have no effect.
+func (w *Watcher) Init() { w.wake, w.hurry = make(chan struct{}, 1), make(chan struct{}, 1) }
+
+// Hurry makes the watcher repeat the read in progress at once, unless it makes progress, because there are records that it
+// should have.
+func (w *Watcher) Hurry() {
+	select {
+	case w.hurry <- struct{}{}:
+	default:
+	}
+}
 
 // Wake makes a paused watcher check at once whether it is enabled.
 func (w *Watcher) Wake() {
@@ -143,8 +153,8 @@
 // A read without an answer is repeated on a connection of its own.
 func (w *Watcher) readOnce(ctx context.Context) error {
 	step := w.ApplyWithin / readsWithinTarget
-	policy := hedge.Policy{After: 2 * step, Interval: step, Moved: w.Transfers.MovedWithin, Clock: w.Clock, Logger: w.Logger}
-	synced, offset, afterLarge := w.synced.Load(), w.Offset(), w.afterLarge
+	policy := hedge.Policy{After: 2 * step, Interval: step, Moved: w.Transfers.MovedWithin, Hurry: w.hurry, Clock: w.Clock, Logger: w.Logger}
+	synced, offset, afterLarge, failing := w.synced.Load(), w.Offset(), w.afterLarge, w.failing.Load()
 	b, err := hedge.Do(ctx, policy, func(ctx context.Context, n int) (batch, error) {
 		if n > 0 {
 			ctx = plog.Repeat(ctx)
@@ -154,7 +164,7 @@
 		switch {
 		case !synced:
 			b, err = w.readNewest(ctx)
-		case w.SkipSuperseded && (n > 0 || afterLarge):
+		case w.SkipSuperseded && (n > 0 || afterLarge || failing):
 			b, err = w.readLatest(ctx, offset)
 		case n == 0:
 			b, err = w.readAppended(ctx, offset, step)
