plog: a large append has the time that its bytes take

An append is repeated each 500 ms while none is answered, and attempts overlap. One of 1 MB takes 0.84 s of a 10 Mbit/s link, so that copies of it filled the link of a daemon on a small VM, and each had 2.5 s.

TestLargeAppendIsNotRepeatedOnItsWay failed before ("repeated before the first attempt can have ended").

--- a/internal/plog/repeat.go
+++ b/internal/plog/repeat.go
@@ -9,6 +9,7 @@
 
 	"github.com/toucanhatch/toucanhatch/internal/clock"
 	"github.com/toucanhatch/toucanhatch/internal/panics"
+	"github.com/toucanhatch/toucanhatch/pkg/ident"
 )
 
 const (
@@ -17,6 +18,9 @@
 	// repeatInterval is the time from one attempt to the next while none is answered. An attempt that was sent while the log
 	// was silent is never answered, also when the log is back.
 	repeatInterval = 500 * time.Millisecond
+	// minRate is the rate in bytes a second that an append has at least: a half of the slowest link. An attempt has the time
+	// that its records take at this rate in addition.
+	minRate = 5e6 / 8
 	// retryPause is the time from a failed attempt to the next one if no other is in flight.
 	retryPause = 50 * time.Millisecond
 )
@@ -56,7 +60,8 @@
 			}
 		})
 	}
-	next := schedule(repeatInterval)
+	interval := repeatInterval + transferTime(records)
+	next := schedule(interval)
 	defer func() { next.Stop() }()
 	go a.attempt(ctx, results, to, w, records)
 	inFlight, unknownOutcome := 1, partlyStored
@@ -68,7 +73,7 @@
 			inFlight++
 			go a.attempt(Repeat(ctx), results, to, w, records)
 			next.Stop()
-			next = schedule(repeatInterval)
+			next = schedule(interval)
 		case err := <-results:
 			inFlight--
 			var seq *SeqError
@@ -90,11 +95,20 @@
 	}
 }
 
+// transferTime returns how long records may take to reach the log.
+func transferTime(records []Record) time.Duration {
+	var size ident.Bytes
+	for i := range records {
+		size += records[i].AppendSize()
+	}
+	return time.Duration(size) * time.Second / minRate
+}
+
 // attempt makes one attempt and passes its result on, unless ctx is done.
 func (a *Appender) attempt(ctx context.Context, results chan<- error, to TopicPartition, w Writer, records []Record) {
 	err := errPanicked
 	panics.Catch(a.Logger, "write", func() {
-		call, cancel := context.WithTimeout(ctx, attemptTimeout)
+		call, cancel := context.WithTimeout(ctx, attemptTimeout+transferTime(records))
 		defer cancel()
 		err = a.Log.Append(call, to, w, records)
 	})
--- a/internal/plog/repeat_test.go
+++ b/internal/plog/repeat_test.go
@@ -29,12 +29,12 @@
 }
 
 // startAppend begins an append on a log that the test scripts, and returns its first attempt.
-func startAppend(t *testing.T) (log *scriptedLog, manual *clock.Manual, first chan error, result chan error) {
+func startAppend(t *testing.T, records ...Record) (log *scriptedLog, manual *clock.Manual, first chan error, result chan error) {
 	t.Helper()
 	log, manual, result = &scriptedLog{calls: make(chan chan error, 8)}, clock.NewManual(time.Now()), make(chan error, 1)
 	a := &Appender{Log: log, Clock: manual, Logger: hclog.NewNullLogger()}
 	go func() {
-		result <- a.Append(t.Context(), TopicPartition{Topic: "t"}, Writer{Name: "w", Epoch: 1, Seq: 1}, nil, false)
+		result <- a.Append(t.Context(), TopicPartition{Topic: "t"}, Writer{Name: "w", Epoch: 1, Seq: 1}, records, false)
 	}()
 	return log, manual, <-log.calls, result
 }
@@ -108,3 +108,21 @@
 		t.Errorf("append: %v, want %v", err, ErrRefused)
 	}
 }
+
+// Guards against a large append that is repeated while its first attempt is on its way, so that the copies fill a slow link
+// and none of them ends.
+func TestLargeAppendIsNotRepeatedOnItsWay(t *testing.T) {
+	const size = 1 << 20
+	log, manual, first, result := startAppend(t, Record{Key: "k", Value: make([]byte, size)})
+	const slowLink = 10e6 / 8 // bytes a second
+	manual.Advance(size*time.Second/slowLink + repeatInterval/2)
+	select {
+	case <-log.calls:
+		t.Fatalf("repeated before the first attempt can have ended")
+	case <-time.After(50 * time.Millisecond):
+	}
+	first <- nil
+	if err := <-result; err != nil {
+		t.Errorf("error %v, want none", err)
+	}
+}
