link: a large frame has the time that its bytes take

A frame of up to 1 MB had one second to be written, 0.84 s of a 10 Mbit/s link that does nothing else; a ping that waited behind it for as long, or a response of which the last byte had not come after 0.9 s, closed the connection for all other requests.

TestLargeFramesPassSlowLinks failed before: "failed to write frame: context deadline exceeded".

--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -44,8 +44,10 @@
 	// connection. It is many round trips.
 	suspicionTime = 150 * time.Millisecond
 	// pingPeriod is short enough for several pings within silenceTimeout.
-	pingPeriod   = 250 * time.Millisecond
+	pingPeriod = 250 * time.Millisecond
+	// writeTimeout bounds the time to write a small frame. A larger one has the time in addition that it takes at minRate.
 	writeTimeout = time.Second
+	minRate      = 5e6 / 8 // bytes a second, a half of the slowest link
 	maxFrame     = 1 << 20 // bytes
 	// redialPause is the shortest time between two attempts to dial a process that can't be reached.
 	redialPause = 200 * time.Millisecond
@@ -205,7 +207,7 @@
 	if err != nil {
 		return err
 	}
-	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	ctx, cancel := context.WithTimeout(ctx, writeTimeout+time.Duration(len(data))*time.Second/minRate)
 	defer cancel()
 	return ws.Write(ctx, websocket.MessageBinary, data)
 }
@@ -236,6 +238,7 @@
 	pending        map[uint64]pendingCall
 	lastReceived   time.Time // when bytes have last arrived
 	broken         bool
+	writing        int  // requests that are being written
 	suspect        bool // may have gone silent: only the requests in flight still wait for it
 	checkScheduled bool // a call of check is scheduled
 }
@@ -328,17 +331,17 @@
 }
 
 // check closes the connection if responses are outstanding and nothing has arrived for silenceTimeout, and otherwise sends
-// a ping. It is called every pingPeriod, but only while responses are outstanding, because a process has connections to
+// a ping. While a request is being written, which has a time limit of its own, it does neither. It is called every pingPeriod, but only while responses are outstanding, because a process has connections to
 // many others, most of which are idle.
 func (x *conn) check() {
 	x.mu.Lock()
-	busy, lastReceived := len(x.pending) > 0 && !x.broken, x.lastReceived
+	busy, writing, lastReceived := len(x.pending) > 0 && !x.broken, x.writing > 0, x.lastReceived
 	x.checkScheduled = busy
 	x.mu.Unlock()
 	if !busy {
 		return
 	}
-	if time.Since(lastReceived) > silenceTimeout || writeFrame(context.Background(), x.ws, frame{}) != nil {
+	if !writing && (time.Since(lastReceived) > silenceTimeout || writeFrame(context.Background(), x.ws, frame{}) != nil) {
 		x.shutDown()
 		return
 	}
@@ -387,9 +390,12 @@
 		time.AfterFunc(pingPeriod, x.check)
 	}
 	x.pending[id] = pendingCall{ctx, ch}
+	x.writing++
 	x.mu.Unlock()
 	//nolint:contextcheck // canceling a write would close the connection for the other requests
-	if err := writeFrame(context.Background(), x.ws, frame{ID: id, Method: m, Body: body}); err != nil {
+	err := writeFrame(context.Background(), x.ws, frame{ID: id, Method: m, Body: body})
+	x.written(len(body))
+	if err != nil {
 		x.shutDown()
 		return nil, errors.Wrapf(ErrConnectionLost, "%s: %v", addr, err)
 	}
@@ -408,6 +414,16 @@
 	}
 }
 
+// written notes that a request has been written, or has failed. A large one may have taken longer than silenceTimeout.
+func (x *conn) written(size int) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.writing--
+	if size >= stall.LargeTransfer {
+		x.lastReceived = time.Now()
+	}
+}
+
 // giveUp forgets a request whose caller no longer waits. If nothing has arrived since it was sent, the connection may have
 // gone silent. One that was made a moment ago is kept, so that a process that answers late isn't dialed all the time.
 func (x *conn) giveUp(id uint64, sentAt time.Time) {
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"testing"
 	"time"
 
@@ -9,6 +10,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/toucanhatch/toucanhatch/internal/fakes"
+	"github.com/toucanhatch/toucanhatch/platform/local"
 )
 
 // Guards against a panic of a handler that ends the process, or closes the connection for other requests.
@@ -103,3 +105,17 @@
 	go func() { _ = relay.Serve(front) }()
 	return relay, front.Addr().String()
 }
+
+// Guards against a request or a response that fails because it takes longer to transfer than small ones may.
+func TestLargeFramesPassSlowLinks(t *testing.T) {
+	const size = maxFrame * 9 / 10
+	_, addr := startRelayedServer(t)
+	slow := local.NewLink(minRate)
+	c := &Client{Dial: slow.Dial}
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	defer cancel()
+	body := strings.Repeat("x", size)
+	if got, err := Call[string](ctx, c, addr, "m", body); err != nil || got != body {
+		t.Errorf("%d bytes returned, error %v, want %d", len(got), err, size)
+	}
+}
