soak: versions up to the log's limit, on links of 10 Mbit/s

Each third version has up to 1,700 idle routes (256 KB), one after the other and in series, and each daemon reaches the store over a link of 10 Mbit/s.

--- a/soak/routes_test.go
+++ b/soak/routes_test.go
@@ -18,6 +18,10 @@
 	// are in force, by default.
 	applyTime  = 2 * time.Second
 	keptRoutes = 40 // older ones are dropped
+	// largeVersions is the share of versions that have idle routes besides, up to maxIdleRoutes, with which their records
+	// reach the log's limit of 256 KiB.
+	largeVersions = 3
+	maxIdleRoutes = 1700
 )
 
 // changedRoute is a route that was added, and perhaps dropped.
@@ -30,6 +34,7 @@
 type routeChanges struct {
 	t       *testing.T
 	rng     *rand.Rand
+	sizes   *rand.Rand
 	fleet   *local.Fleet
 	daemons []*daemonProcess
 
@@ -55,7 +60,13 @@
 		for _, r := range c.served {
 			routes = append(routes, r.path)
 		}
-		c.fleet.Configure(c.t.Context(), version, jobHost, routes)
+		var idle []string
+		if c.sizes.IntN(largeVersions) == 0 {
+			for n := range c.sizes.IntN(maxIdleRoutes) {
+				idle = append(idle, fmt.Sprintf("idle-%d", n))
+			}
+		}
+		c.fleet.Configure(c.t.Context(), version, jobHost, routes, idle...)
 		c.served[len(c.served)-1].at = time.Now()
 		if drops {
 			c.dropped[len(c.dropped)-1].at = time.Now()
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -53,6 +53,7 @@
 	maxCrashes    = 5                      // of targets by one task
 	largeShare    = 30                     // one job in so many has largeTasks tasks, whose state takes several records
 	largeTasks    = 150
+	slowLink      = 10e6 / 8 // bytes a second between a daemon and the store
 	jobHost       = "desk.example"
 )
 
@@ -98,7 +99,7 @@
 // newDaemonProcess starts the relay and the gate to the store, and writes the settings of a daemon.
 func newDaemonProcess(t *testing.T, index int, fleet *local.Fleet) *daemonProcess {
 	t.Helper()
-	gate, err := fleet.AddGate(t.Context())
+	gate, err := fleet.AddGateOver(t.Context(), local.NewLink(slowLink))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -327,7 +328,10 @@
 		})
 	}
 	rng := rand.New(rand.NewPCG(seed, 200))
-	faults.Go(func() { (&routeChanges{t: t, rng: rng, fleet: fleet, daemons: daemons}).run(end) })
+	versionSizes := rand.New(rand.NewPCG(seed, 600))
+	faults.Go(func() {
+		(&routeChanges{t: t, rng: rng, sizes: versionSizes, fleet: fleet, daemons: daemons}).run(end)
+	})
 	odd := rand.New(rand.NewPCG(seed, 500))
 	faults.Go(func() {
 		for time.Now().Before(end) {
