hedge: a hurried repeat waits for a read that makes progress, not for its interval

An interval of the watcher (a quarter of the bound) without bytes had to pass after the last version before a hurried read was sent, and a hurry that was meant for the read before counted for the next one.

--- a/internal/hedge/hedge.go
+++ b/internal/hedge/hedge.go
@@ -15,9 +15,9 @@
 type Policy struct {
 	// After is the time from the first attempt to the second, and Interval the time between later ones.
 	After, Interval time.Duration
-	// Moved, if set, reports whether an attempt, or another call for the same, has made progress within a time. No further
-	// attempt is made before it has made none for Interval.
-	Moved func(within time.Duration) bool
+	// Moved, if set, reports whether an attempt, or another call for the same, makes progress. No further attempt is made
+	// while it does.
+	Moved func() bool
 	// Hurry, if set, makes the next attempt due when it receives.
 	Hurry  <-chan struct{}
 	Clock  clock.Clock
@@ -67,7 +67,7 @@
 			next.Stop()
 			next = schedule(0)
 		case <-due:
-			if p.Moved == nil || !p.Moved(p.Interval) {
+			if p.Moved == nil || !p.Moved() {
 				go start(started)
 				started++
 				inFlight++
--- a/internal/hedge/hedge_test.go
+++ b/internal/hedge/hedge_test.go
@@ -71,3 +71,31 @@
 		t.Error("the attempt in flight was not canceled")
 	}
 }
+
+// Guards against a call that is repeated while its attempt makes progress, and one that isn't when it is hurried.
+func TestRepeatsFollowProgressAndHurry(t *testing.T) {
+	for _, test := range []struct {
+		name         string
+		moves, hurry bool
+		want         int // the attempt that succeeds
+	}{{"hurried", false, true, 1}, {"makes progress", true, false, 0}, {"hurried, makes progress", true, true, 0}} {
+		t.Run(test.name, func(t *testing.T) {
+			p := testPolicy()
+			hurry := make(chan struct{}, 1)
+			p.Hurry, p.Moved = hurry, func() bool { return test.moves }
+			if test.hurry {
+				p.After = time.Hour
+				hurry <- struct{}{}
+			}
+			got, err := Do(t.Context(), p, func(ctx context.Context, n int) (int, error) {
+				if n == 0 {
+					return n, clock.Sleep(ctx, p.Clock, 10*testPolicy().After)
+				}
+				return n, nil
+			})
+			if got != test.want || err != nil {
+				t.Errorf("Do() = %d, %v; want %d without an error", got, err, test.want)
+			}
+		})
+	}
+}
--- a/internal/jobd/configuration.go
+++ b/internal/jobd/configuration.go
@@ -244,7 +244,7 @@
 }
 
 // hedgePolicy is that of reads for which a request waits.
-func (c *configuration) hedgePolicy(moved func(time.Duration) bool) hedge.Policy {
+func (c *configuration) hedgePolicy(moved func() bool) hedge.Policy {
 	const step = maxDecisionWait / repeatsWithinDecision
 	return hedge.Policy{After: step, Interval: step, Moved: moved, Clock: c.Clock, Logger: c.Logger}
 }
@@ -254,7 +254,7 @@
 	if end < c.watcher.Offset() {
 		return errLogShorter
 	}
-	_, err := hedge.Do(ctx, c.hedgePolicy(c.receiving), func(ctx context.Context, n int) (struct{}, error) {
+	_, err := hedge.Do(ctx, c.hedgePolicy(c.versionArrives), func(ctx context.Context, n int) (struct{}, error) {
 		if n > 0 {
 			c.watcher.Hurry()
 		}
--- a/internal/jobd/confpeers.go
+++ b/internal/jobd/confpeers.go
@@ -103,6 +103,11 @@
 	return c.decoding.Load() > 0 || c.transfers.MovedWithin(within)
 }
 
+// versionArrives reports whether a version is on its way here, as far as a request that waits for it is concerned.
+func (c *configuration) versionArrives() bool {
+	return c.receiving(maxDecisionWait / repeatsWithinDecision)
+}
+
 // stallTimeout is how long a transfer may make no progress until it is given up, or another one is begun.
 func (c *configuration) stallTimeout() time.Duration {
 	return c.ApplyWithin / configTimeoutsWithinTarget
@@ -211,7 +216,7 @@
 // catchUp waits until the version in force is not behind any more. As long as no version is on its way, it reads the
 // configuration from one peer after the other, and has the watcher repeat its read.
 func (c *configuration) catchUp(ctx context.Context) error {
-	policy := c.hedgePolicy(c.receiving)
+	policy := c.hedgePolicy(c.versionArrives)
 	if c.watcher.Failing() {
 		policy.After = 0
 	}
--- a/internal/watch/watcher.go
+++ b/internal/watch/watcher.go
@@ -20,6 +20,8 @@
 	// answerTimeout is how long after its wait time a read may make no progress, by a slow log.
 	answerTimeout = 1200 * time.Millisecond
 	retryPause    = 200 * time.Millisecond
+	// stallTime is how long a large read may make no progress before it is repeated beside it.
+	stallTime = answerTimeout / 4
 	// readsWithinTarget is into how many intervals a watcher divides ApplyWithin: the wait time of a read, the time for
 	// its answer, and the time for the answer of a second read, which may meet a silent connection too.
 	readsWithinTarget = 4
@@ -153,7 +155,11 @@
 // A read without an answer is repeated on a connection of its own.
 func (w *Watcher) readOnce(ctx context.Context) error {
 	step := w.ApplyWithin / readsWithinTarget
-	policy := hedge.Policy{After: 2 * step, Interval: step, Moved: w.Transfers.MovedWithin, Hurry: w.hurry, Clock: w.Clock, Logger: w.Logger}
+	select {
+	case <-w.hurry: // meant for an earlier read
+	default:
+	}
+	policy := hedge.Policy{After: 2 * step, Interval: step, Moved: func() bool { return w.Transfers.MovedWithin(stallTime) }, Hurry: w.hurry, Clock: w.Clock, Logger: w.Logger}
 	synced, offset, afterLarge, failing := w.synced.Load(), w.Offset(), w.afterLarge, w.failing.Load()
 	b, err := hedge.Do(ctx, policy, func(ctx context.Context, n int) (batch, error) {
 		if n > 0 {
