--- a/internal/stall/stall_test.go
+++ b/internal/stall/stall_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"strings"
 	"testing"
@@ -29,7 +30,7 @@
 	case <-time.After(10 * timeout):
 		t.Fatalf("not ended %v after the last progress, want %v", 10*timeout, timeout)
 	}
-	if got, want := context.Cause(ctx), context.DeadlineExceeded; got != want {
+	if got, want := context.Cause(ctx), context.DeadlineExceeded; !errors.Is(got, want) {
 		t.Errorf("cause %v, want %v", got, want)
 	}
 }
