--- a/internal/jobd/configuration.go
+++ b/internal/jobd/configuration.go
@@ -205,14 +205,17 @@
 	return c.snapshot().confirmedAt
 }
 
-// readNewer reads the versions beyond the one in force, apart from the watcher, which waits for them.
+// readNewer asks whether there is a newer version than the one in force, and waits for it.
 func (c *configuration) readNewer(ctx context.Context) error {
-	return c.guardRead(func() error {
+	err := errReadPanicked
+	panics.Catch(c.Logger, "read of the configuration", func() {
 		if c.behind() {
-			return c.catchUp(ctx)
+			err = c.catchUp(ctx)
+		} else {
+			err = c.readLog(ctx)
 		}
-		return c.readLog(ctx)
 	})
+	return err
 }
 
 // readLog asks the log where the operators' records end, and waits for those that have not been read yet. Open connections
--- a/internal/jobd/confpeers.go
+++ b/internal/jobd/confpeers.go
@@ -12,7 +12,6 @@
 
 	"github.com/toucanhatch/toucanhatch/internal/hedge"
 	"github.com/toucanhatch/toucanhatch/internal/link"
-	"github.com/toucanhatch/toucanhatch/internal/panics"
 	"github.com/toucanhatch/toucanhatch/internal/stall"
 )
 
@@ -178,13 +177,16 @@
 	sent := c.Clock.Now()
 	r, err := link.Call[configReply](ctx, client, addr, methodConfig, configQuery{Version: c.version(), Form: form})
 	if err != nil {
-		countTransfer(sourcePeer, transferGivenUp, 0)
+		if form != formNone {
+			countTransfer(sourcePeer, transferGivenUp, 0)
+		}
 		c.Logger.Info("a peer has not sent its configuration", "peer", addr, "form", form, "version", c.version(), "waited", c.Clock.Now().Sub(sent), "error", err)
 		return r, err
 	}
 	if r.Version == 0 {
 		return r, errNoNewerVersion
 	}
+	c.noteVersion(r.Version)
 	encoded, err := r.encoded()
 	if err != nil {
 		c.Logger.Error("a peer has sent a configuration that can't be read", "peer", addr, "version", r.Version, "error", err)
@@ -235,10 +237,3 @@
 	})
 	return err
 }
-
-// guardRead calls read, and returns an error if it panics.
-func (c *configuration) guardRead(read func() error) error {
-	err := errReadPanicked
-	panics.Catch(c.Logger, "read of the configuration", func() { err = read() })
-	return err
-}
