link: responses to pings bring no transfer forward

Found in the last read of the diff: all bytes of a connection counted as progress of the requests that wait for it, also the responses to the pings that are sent meanwhile. A transfer whose response never came was waited for as long as the peer answered pings, and kept other transfers from peers waiting. Bytes of frames of 1 KB and more count.

TestPingsBringNoTransferForward failed before: "given up after 2.5 s by the limit of the test, want after 500ms without progress".

--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -49,6 +49,8 @@
 	writeTimeout = time.Second
 	minRate      = 5e6 / 8 // bytes a second, a half of the slowest link
 	maxFrame     = 1 << 20 // bytes
+	// minLargeFrame is the size in bytes from which a frame takes a slow link some time.
+	minLargeFrame = 1 << 10
 	// redialPause is the shortest time between two attempts to dial a process that can't be reached.
 	redialPause = 200 * time.Millisecond
 	// headerTimeout bounds the time for the header of a WebSocket handshake.
@@ -169,15 +171,16 @@
 	}
 }
 
-// readFrame reads a frame. It calls received, if it is not nil, with the number of bytes each time that some have arrived.
-func readFrame(ctx context.Context, ws *websocket.Conn, received func(n int)) (frame, error) {
+// readFrame reads a frame. Each time that bytes of it have arrived, it calls received, if that is not nil, with their number
+// and that of all bytes of the frame so far.
+func readFrame(ctx context.Context, ws *websocket.Conn, received func(n, total int)) (frame, error) {
 	var f frame
 	_, r, err := ws.Reader(ctx)
 	if err != nil {
 		return f, err
 	}
 	if received != nil {
-		r = progressReader{r, received}
+		r = &progressReader{from: r, received: received}
 	}
 	data, err := io.ReadAll(r)
 	if err != nil {
@@ -189,13 +192,15 @@
 // progressReader tells how much has been read.
 type progressReader struct {
 	from     io.Reader
-	received func(n int)
+	received func(n, total int)
+	total    int
 }
 
 // Read implements io.Reader.
-func (r progressReader) Read(p []byte) (int, error) {
+func (r *progressReader) Read(p []byte) (int, error) {
 	n, err := r.from.Read(p)
-	r.received(n)
+	r.total += n
+	r.received(n, r.total)
 	return n, err
 }
 
@@ -315,14 +320,16 @@
 	}
 }
 
-// noteProgress notes that n bytes have arrived. They bring the requests that wait for the connection forward, whichever of
-// them is answered.
-func (x *conn) noteProgress(n int) {
+// noteProgress notes that n bytes of a frame have arrived. Those of a large frame bring the requests that wait for the
+// connection forward, whichever of them it answers; others, such as responses to pings, don't.
+func (x *conn) noteProgress(n, total int) {
 	x.mu.Lock()
 	x.lastReceived = time.Now()
-	waiting := make([]context.Context, 0, len(x.pending))
-	for _, p := range x.pending {
-		waiting = append(waiting, p.ctx)
+	var waiting []context.Context
+	if total >= minLargeFrame {
+		for _, p := range x.pending {
+			waiting = append(waiting, p.ctx)
+		}
 	}
 	x.mu.Unlock()
 	for _, ctx := range waiting {
@@ -331,8 +338,9 @@
 }
 
 // check closes the connection if responses are outstanding and nothing has arrived for silenceTimeout, and otherwise sends
-// a ping. While a request is being written, which has a time limit of its own, it does neither. It is called every pingPeriod, but only while responses are outstanding, because a process has connections to
-// many others, most of which are idle.
+// a ping. While a request is being written, which has a time limit of its own, it does neither. It is called every
+// pingPeriod, but only while responses are outstanding, because a process has connections to many others, most of which are
+// idle.
 func (x *conn) check() {
 	x.mu.Lock()
 	busy, writing, lastReceived := len(x.pending) > 0 && !x.broken, x.writing > 0, x.lastReceived
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -10,6 +10,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/toucanhatch/toucanhatch/internal/fakes"
+	"github.com/toucanhatch/toucanhatch/internal/stall"
 	"github.com/toucanhatch/toucanhatch/platform/local"
 )
 
@@ -119,3 +120,27 @@
 		t.Errorf("%d bytes returned, error %v, want %d", len(got), err, size)
 	}
 }
+
+// Guards against a request that waits as long as the other process answers pings, though its response makes no progress.
+func TestPingsBringNoTransferForward(t *testing.T) {
+	l, err := Listen(t.Context(), "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &Server{Listener: l, Logger: hclog.NewNullLogger(), Handler: func(ctx context.Context, _ Method, _ []byte) ([]byte, error) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}}
+	go func() { _ = s.Run(t.Context()) }()
+	ctx, cancel := stall.WithTimeout(t.Context(), 2*pingPeriod)
+	defer cancel()
+	limit, cancelLimit := context.WithTimeout(ctx, 10*pingPeriod)
+	defer cancelLimit()
+	begin := time.Now()
+	if _, err := Call[string](limit, &Client{}, l.Addr().String(), "m", "a"); err == nil {
+		t.Error("answered, want no response")
+	}
+	if limit.Err() == nil || ctx.Err() == nil {
+		t.Errorf("given up after %v by the limit of the test, want after %v without progress", time.Since(begin), 2*pingPeriod)
+	}
+}
