--- a/internal/jobd/shards.go
+++ b/internal/jobd/shards.go
@@ -21,7 +21,7 @@
 	s := &shard.Shard{
 		Partition: p.Partition, Partitions: d.Settings.Log.Partitions, Epoch: epoch, Log: d.Platform.Log, Targets: shardTargets{d}, MaxAppend: d.Settings.Log.MaxAppend, Adviser: d.Platform.Adviser,
 		Bounds: d.activeSettings.Load().bounds(), Clock: d.Clock, Logger: d.Logger, Events: d.logEvent,
-		Queues: d.queues, WallOffset: d.service.wallClock.Offset, LastConfirmed: d.member.ConfirmedAt,
+		Queues: d.queues, Tenants: d.tenants, WallOffset: d.service.wallClock.Offset, LastConfirmed: d.member.ConfirmedAt,
 		RecordWrite:    func(took time.Duration) { writeLatencies.Record(latencyKeyAll, took) },
 		RecordTakeover: func(took time.Duration) { takeoverLatencies.Record(latencyKeyAll, took) },
 	}
@@ -65,6 +65,13 @@
 	return nil
 }
 
+func (d *Daemon) tenants() []work.Tenant {
+	if t := d.service.Config.Table(); t != nil {
+		return t.Tenants
+	}
+	return nil
+}
+
 func (d *Daemon) logEvent(e jobs.Event) {
 	countEvent(e)
 	var args []any
--- a/internal/jobs/job.go
+++ b/internal/jobs/job.go
@@ -13,6 +13,7 @@
 type job struct {
 	id              work.JobID
 	queue           work.QueueID
+	tenant          work.TenantID // empty if the job belongs to none
 	spec            *work.Spec
 	submitted       time.Time // wall time of the first submission, which may have been refused
 	canceled        bool
@@ -72,7 +73,7 @@
 }
 
 func newJob(id work.JobID, queue work.QueueID, spec *work.Spec, submitted time.Time, segmentTasks int) *job {
-	j := &job{id: id, queue: queue, spec: spec, submitted: submitted, occurrencesLeft: spec.Occurrences(), segments: newSegmentation(spec, segmentTasks)}
+	j := &job{id: id, queue: queue, tenant: spec.Tenant, spec: spec, submitted: submitted, occurrencesLeft: spec.Occurrences(), segments: newSegmentation(spec, segmentTasks)}
 	j.longestChain = longestChain(spec, nil)
 	j.cpuTime = totalCPUTime(spec)
 	return j
--- a/internal/jobs/pool.go
+++ b/internal/jobs/pool.go
@@ -26,6 +26,7 @@
 
 	wallOffset     time.Duration
 	queues         map[work.QueueID]work.Queue
+	tenants        map[work.TenantID]work.Tenant // of the configuration in force
 	jobs           map[work.JobID]*job
 	active         []*job // the unfinished jobs
 	suspects       []*suspect
@@ -67,7 +68,7 @@
 func NewPool(id ident.PoolID) *Pool {
 	return &Pool{
 		ID: id, nextWrite: 1,
-		queues: map[work.QueueID]work.Queue{}, jobs: map[work.JobID]*job{}, targets: map[work.TargetID]*target{},
+		queues: map[work.QueueID]work.Queue{}, tenants: map[work.TenantID]work.Tenant{}, jobs: map[work.JobID]*job{}, targets: map[work.TargetID]*target{},
 		dirty: map[work.JobID]*job{}, ratios: map[work.QueueID]*timeRatio{}, advice: map[stepKey]*stepAdvice{},
 	}
 }
@@ -88,6 +89,14 @@
 	}
 }
 
+// SetTenants replaces the configuration of the tenants. A removed tenant keeps its last configuration for the jobs that it
+// still has.
+func (p *Pool) SetTenants(tenants []work.Tenant) {
+	for _, t := range tenants {
+		p.tenants[t.ID] = t
+	}
+}
+
 // addUnknownQueue stores the configuration of a queue that SetQueues has not set.
 func (p *Pool) addUnknownQueue(q work.Queue) {
 	if _, known := p.queues[q.ID]; !known {
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -13,12 +13,13 @@
 	MaxBody int64
 	Pools   []work.PoolConfig
 	Queues  []work.Queue
+	Tenants []work.Tenant           // as in [work.Config]
 	byHost  map[string][]work.Route // longest prefix first
 }
 
 // New returns the table of a configuration.
 func New(c *work.Config) *Table {
-	t := &Table{Version: c.Version, MaxBody: c.MaxBody, Pools: c.Pools, byHost: map[string][]work.Route{}}
+	t := &Table{Version: c.Version, MaxBody: c.MaxBody, Pools: c.Pools, Tenants: c.Tenants, byHost: map[string][]work.Route{}}
 	for _, r := range c.Routes {
 		host := strings.ToLower(r.Host)
 		t.byHost[host] = append(t.byHost[host], r)
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -96,6 +96,8 @@
 	Events     func(jobs.Event)
 	// Queues returns the current configuration of the queues.
 	Queues func() []work.Queue
+	// Tenants returns the current configuration of the tenants. It may be nil.
+	Tenants func() []work.Tenant
 	// WallOffset returns what to add to a time of Clock to get the wall time.
 	WallOffset func() time.Duration
 	// LastConfirmed returns when the log last confirmed the ownership.
--- a/internal/shard/targets.go
+++ b/internal/shard/targets.go
@@ -12,6 +12,9 @@
 // refresh updates a pool to the current configuration and list of live targets.
 func (s *Shard) refresh(now time.Time, p *pool) {
 	p.SetQueues(s.Queues())
+	if s.Tenants != nil {
+		p.SetTenants(s.Tenants())
+	}
 	p.SetWallOffset(s.WallOffset())
 	live := map[work.TargetID]bool{}
 	for _, reg := range s.Targets.Snapshot(p.ID) {
--- a/internal/work/config.go
+++ b/internal/work/config.go
@@ -11,6 +11,8 @@
 	Version int64
 	Routes  []Route
 	Pools   []PoolConfig
+	// Tenants is nil if the configuration has none. Otherwise all queues that are not public need the key of a tenant.
+	Tenants []Tenant
 	MaxBody int64 // bytes of a request's body; 0 sets no limit
 }
 
--- a/internal/work/types.go
+++ b/internal/work/types.go
@@ -82,6 +82,8 @@
 	Repeat  int           `cbor:"3,keyasint,omitempty"` // number of occurrences of a scheduled job; 0 for a job that runs once
 	FirstAt time.Time     `cbor:"4,keyasint,omitempty"` // when occurrence 0 is due
 	Period  time.Duration `cbor:"5,keyasint,omitempty"`
+	// Tenant is the tenant whose key submitted the job; empty if none was needed. It is never part of a client's message.
+	Tenant TenantID `cbor:"6,keyasint,omitempty"`
 }
 
 // HasServiceStep reports whether the tasks of some step run until the job is canceled.
@@ -210,8 +212,9 @@
 	Priority    int           `cbor:"Priority"` // 0 is the highest
 	MaxAttempts int           `cbor:"MaxAttempts"`
 	SlackFactor float64       `cbor:"SlackFactor"`
-	Objective   time.Duration `cbor:"Objective"` // time to complete a job, on top of SlackFactor times its longest chain of steps
-	Advice      *AdviceConfig `cbor:"Advice"`    // nil if any target may run any step
+	Objective   time.Duration `cbor:"Objective"`        // time to complete a job, on top of SlackFactor times its longest chain of steps
+	Advice      *AdviceConfig `cbor:"Advice"`           // nil if any target may run any step
+	Public      bool          `cbor:"Public,omitempty"` // needs no tenant's key
 }
 
 // AdviceConfig configures a queue whose steps may run only on targets for
