tenants: keys of clients, and jobs that belong to a tenant

Cause: every client could use every queue, and see and cancel every job.

Change: the configuration has `tenants` and `public` queues. The entry finds the tenant by the digest of the key in the header Credential; a missing, repeated, unusable or unknown key gets 401, which is a denial with the same evidence as 404 and is sent without reading the body. The owner of the pool decides again if its version is newer, and carries out no request of a process without tenants for a queue that needs a key. A job keeps its tenant across takeovers and after its tasks are dropped; another tenant's job is unknown (410, after the same proof of ownership), and its id is in use (409). Daemons send each other configurations with digests instead of keys. Without `tenants` nothing of this applies.

Ruled out: to send the 401 first and keep the connection (EnableFullDuplex). In the end-to-end test a later request on such a connection was reset; the connection is closed instead.

Tests: internal/jobd, internal/jobs, internal/shard, internal/route pass, also the new tests of platform three times and once with the race detector.

--- a/internal/jobcli/dev.go
+++ b/internal/jobcli/dev.go
@@ -23,6 +23,7 @@
 
 const (
 	devHost    = "desk.example"   // host name for which the queues are configured
+	devKey     = "dev-key-a"      // of a tenant, which the fleet ignores if it has none
 	devTimeout = 20 * time.Second // until the job must be completed
 )
 
@@ -33,24 +34,29 @@
 	return &cli.Command{
 		Name:  "dev",
 		Usage: "run a small fleet on a local fake of the platform, submit a job and show its states until it is completed",
-		Flags: []cli.Flag{&cli.BoolFlag{Name: "once", Usage: "exit when the job is completed"}},
+		Flags: []cli.Flag{&cli.BoolFlag{Name: "once", Usage: "exit when the job is completed"}, &cli.BoolFlag{Name: "tenants", Usage: "serve only clients with the key of a tenant: dev-key-a or dev-key-b"}},
 		Action: func(ctx context.Context, c *cli.Command) error {
 			ctx, cancel := signal.NotifyContext(ctx, os.Interrupt)
 			defer cancel()
-			return runDev(ctx, c.Bool("once"))
+			return runDev(ctx, c.Bool("once"), c.Bool("tenants"))
 		},
 	}
 }
 
 // runDev runs two daemons and the targets of two pools in this process until ctx is done, or
-// until the job is completed if once is set.
-func runDev(ctx context.Context, once bool) error {
+// until the job is completed if once is set. The fleet has tenants if tenants is set.
+func runDev(ctx context.Context, once, tenants bool) error {
 	pools := []string{"cut", "sew"}
 	fleet, err := local.NewFleet(ctx, pools, 3)
 	if err != nil {
 		return err
 	}
 	defer fleet.Close()
+	keyHint := ""
+	if tenants {
+		fleet.Tenants = []local.Tenant{{Name: "a", Keys: []string{devKey}, Weight: 1}, {Name: "b", Keys: []string{"dev-key-b"}, Weight: 1}}
+		keyHint = " -H '" + platform.KeyHeader + ": " + devKey + "'"
+	}
 	fleet.Configure(ctx, 1, devHost, pools)
 	running, stop := context.WithCancel(ctx)
 	defer stop()
@@ -65,7 +71,7 @@
 		d := &jobd.Daemon{Settings: s, Platform: platform.New(s), Logger: hclog.NewNullLogger(), Clock: clock.SuspendAware()}
 		go func() { ended <- d.Run(running) }()
 	}
-	fmt.Printf("two daemons, pools cut and sew with three targets each\ntry:  curl -H 'Host: %s' -d '%s' http://%s/cut/0123456789abcdef\n", devHost, devJob, client)
+	fmt.Printf("two daemons, pools cut and sew with three targets each\ntry:  curl -H 'Host: %s'%s -d '%s' http://%s/cut/0123456789abcdef\n", devHost, keyHint, devJob, client)
 	if err := runDevJob(ctx, client); err != nil {
 		return err
 	}
@@ -140,6 +146,7 @@
 		return 0, "", err
 	}
 	req.Host = devHost
+	req.Header.Set(platform.KeyHeader, devKey)
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
 		return 0, "", err
--- a/internal/jobd/configuration.go
+++ b/internal/jobd/configuration.go
@@ -62,7 +62,8 @@
 type configSnapshot struct {
 	table       *route.Table
 	encoded     []byte        // as published by the operators
-	deflated    func() []byte // returns encoded, compressed
+	shared      func() []byte // returns it without keys, as it is sent to other daemons
+	deflated    func() []byte // returns shared, compressed
 	confirmedAt time.Time     // by the clock of this daemon, the latest time as of which no newer version existed; zero if unknown
 }
 
@@ -173,11 +174,21 @@
 // behind reports whether another daemon has named a version that is newer than the one in force.
 func (c *configuration) behind() bool { return c.announced.Load() > c.version() }
 
-// decideAgain returns the queue of a request that another daemon, or this one, has decided by an older version than the one
-// in force. The error says why the request may not be carried out: its queue is not that of the newer version, or a version
-// is known that is newer than both.
-func (c *configuration) decideAgain(m link.Method, req request) (work.Queue, error) {
+// decideAgain returns the queue and the caller of a request that another daemon, or this one, has decided by an older version
+// than the one in force. The error says why the request may not be carried out: the newer version has another queue or
+// tenant for it, or none, or a version is known that is newer than both.
+func (c *configuration) decideAgain(m link.Method, req request) (work.Queue, work.Caller, error) {
 	s := c.snapshot()
+	queue, err := s.decideQueue(m, req)
+	if err != nil {
+		return work.Queue{}, work.Caller{}, err
+	}
+	caller, err := s.decideCaller(m, req, queue)
+	return queue, caller, err
+}
+
+// decideQueue returns the queue of a request, as for decideAgain.
+func (s *configSnapshot) decideQueue(m link.Method, req request) (work.Queue, error) {
 	switch {
 	case req.Known > max(req.Version, s.version()):
 		return work.Queue{}, errBehind
@@ -378,7 +389,8 @@
 	panics.Catch(c.Logger, "configuration", func() {
 		var config *work.Config
 		if config, err = c.Platform.DecodeConfig(value); err == nil {
-			next = &configSnapshot{table: route.New(config), encoded: value, deflated: sync.OnceValue(func() []byte { return deflate(value) })}
+			shared := sync.OnceValue(func() []byte { return c.Platform.withoutKeys(c.Logger, config, value) })
+			next = &configSnapshot{table: route.New(config), encoded: value, shared: shared, deflated: sync.OnceValue(func() []byte { return deflate(shared()) })}
 		}
 	})
 	return next, err
--- a/internal/jobd/configuration_test.go
+++ b/internal/jobd/configuration_test.go
@@ -47,7 +47,7 @@
 // request is denied.
 func deny(ctx context.Context, s *Service, path string) (found bool, err error) {
 	for {
-		d, err := s.Decide("h", path)
+		d, err := s.Decide("h", path, work.KeyDigest{})
 		if err != nil || d.Found() {
 			return err == nil, err
 		}
--- a/internal/jobd/confpeers.go
+++ b/internal/jobd/confpeers.go
@@ -88,7 +88,7 @@
 	if r.Version > q.Version {
 		switch q.Form {
 		case formPlain:
-			r.Encoded = current.encoded
+			r.Encoded = current.shared()
 		case formDeflated:
 			r.Deflated = current.deflated()
 		case formNone:
--- a/internal/jobd/daemon.go
+++ b/internal/jobd/daemon.go
@@ -37,13 +37,15 @@
 	OperatorPartition, TargetsPartition, StatusPartition plog.TopicPartition
 	ConfigKey                                            string
 	DecodeConfig                                         func([]byte) (*work.Config, error)
-	DecodeRegistration                                   func(string, []byte) (work.Registration, error)
-	NewTargetClient                                      func(work.TargetID, string) agent.Client
-	Adviser                                              agent.Adviser // nil if there is no advice service
-	Cloud                                                maint.Cloud   // nil if VMs can't be moved
-	IsWaveKey                                            func(key string) bool
-	DecodeWave                                           func([]byte) (work.Wave, error)
-	EncodeWaveStatus                                     func(wave int64, completed bool) (plog.Record, error)
+	// RedactConfig replaces the keys in an encoded configuration by their digests. It may be nil if there are no keys.
+	RedactConfig       func([]byte) ([]byte, error)
+	DecodeRegistration func(string, []byte) (work.Registration, error)
+	NewTargetClient    func(work.TargetID, string) agent.Client
+	Adviser            agent.Adviser // nil if there is no advice service
+	Cloud              maint.Cloud   // nil if VMs can't be moved
+	IsWaveKey          func(key string) bool
+	DecodeWave         func([]byte) (work.Wave, error)
+	EncodeWaveStatus   func(wave int64, completed bool) (plog.Record, error)
 	// NewClientHandler returns the HTTP handler for clients' requests.
 	NewClientHandler func(*Service) http.Handler
 }
--- a/internal/jobd/decision.go
+++ b/internal/jobd/decision.go
@@ -23,6 +23,9 @@
 	queue   work.Queue
 	rest    string
 	found   bool
+	key     work.KeyDigest
+	caller  work.Caller
+	allowed bool // the queue is public, or the key is that of a tenant, or none is needed
 }
 
 // ErrSuperseded means that a newer version of the configuration is in force than that of the decision, which has had no
@@ -41,19 +44,26 @@
 // more than that isn't answered by the older version.
 const maxDecisionWait = 200 * time.Millisecond
 
-// Decide selects the queue of a request by the configuration in force. The error is [ErrNoConfig] if there is none.
-func (s *Service) Decide(host, path string) (*Decision, error) {
-	d := &Decision{service: s, config: s.Config.snapshot(), arrived: s.Clock.Now(), host: host, path: path}
+// Decide selects the queue of a request by the configuration in force, and the tenant by the digest of the client's key. The
+// error is [ErrNoConfig] if there is no configuration.
+func (s *Service) Decide(host, path string, key work.KeyDigest) (*Decision, error) {
+	d := &Decision{service: s, config: s.Config.snapshot(), arrived: s.Clock.Now(), host: host, path: path, key: key}
 	if d.config.table == nil {
 		return nil, ErrNoConfig
 	}
-	d.queue, d.rest, d.found = d.config.table.Find(host, path)
+	if d.queue, d.rest, d.found = d.config.table.Find(host, path); d.found {
+		d.caller, d.allowed = d.config.table.Caller(d.queue, key)
+	}
 	return d, nil
 }
 
 // Found reports whether the request selects a queue.
 func (d *Decision) Found() bool { return d.found }
 
+// Allowed reports whether the client may use the queue: it has the key of a tenant, or needs none. No other method that
+// carries a request out may be called if it is false.
+func (d *Decision) Allowed() bool { return d.allowed }
+
 // Rest returns the part of the path after that of the queue, which names the job.
 func (d *Decision) Rest() string { return d.rest }
 
@@ -66,7 +76,7 @@
 func (d *Decision) Deny(ctx context.Context, status int) error {
 	s := d.service
 	err := d.confirm(ctx, s.Config.MaxDenialAge())
-	s.Logger.Info("denial", "host", d.host, "path", d.path, "queue", d.queue.ID, "status", status, "version", d.config.version(), "unconfirmed", s.Config.ageOf(d.config), "newest", s.Config.version(), "denied", err == nil)
+	s.Logger.Info("denial", "host", d.host, "path", d.path, "queue", d.queue.ID, "tenant", d.caller.Tenant, "key", d.keyLogged(), "status", status, "version", d.config.version(), "unconfirmed", s.Config.ageOf(d.config), "newest", s.Config.version(), "denied", err == nil)
 	return err
 }
 
@@ -117,12 +127,15 @@
 }
 
 // Submit submits a job. The error is nil if the job is stored, a [*work.SpecError] if it can't be stored, a
-// [*shard.RefusedError], a [*NotRunError] or [ErrSuperseded] if it is not stored and never will be, and
+// [*shard.RefusedError], a [*NotRunError], [ErrIDInUse] or [ErrSuperseded] if it is not stored and never will be, and
 // [ErrUnknownOutcome] if it may be stored.
 func (d *Decision) Submit(ctx context.Context, id work.JobID, spec *work.Spec) error {
 	s, q := d.service, d.queue
+	owned := *spec
+	owned.Tenant = d.caller.Tenant
+	spec = &owned
 	if err := jobs.CheckStorable(id, q, spec, s.MaxRecord); err != nil {
-		s.Logger.Info("submit", "job", id, "queue", q.ID, "pool", q.Pool, "outcome", outcomeInvalid, "version", d.config.version(), "error", err)
+		s.Logger.Info("submit", "job", id, "queue", q.ID, "tenant", d.caller.Tenant, "pool", q.Pool, "outcome", outcomeInvalid, "version", d.config.version(), "error", err)
 		return err
 	}
 	if err := d.mayAct(ctx); err != nil {
@@ -135,6 +148,8 @@
 	case r.Outcome == outcomeOK:
 	case r.Outcome == outcomeSuperseded && !uncertain:
 		err = d.superseded()
+	case r.Outcome == outcomeIDInUse: // an earlier attempt would have found the same job
+		err = ErrIDInUse
 	case uncertain, r.Outcome == outcomeUndecoded: // an earlier attempt may still be stored, or is
 		err = ErrUnknownOutcome
 	case r.Outcome == outcomeInvalid:
@@ -144,7 +159,7 @@
 	default:
 		err = s.notRunError(r)
 	}
-	s.Logger.Info("submit", "job", id, "queue", q.ID, "pool", q.Pool, "outcome", r.Outcome, "unsure", uncertain, "retry_after", r.RetryAfter, "version", d.config.version())
+	s.Logger.Info("submit", "job", id, "queue", q.ID, "tenant", d.caller.Tenant, "pool", q.Pool, "outcome", r.Outcome, "unsure", uncertain, "retry_after", r.RetryAfter, "version", d.config.version())
 	return err
 }
 
@@ -156,7 +171,7 @@
 		return false, err
 	}
 	r, uncertain := s.callOwner(ctx, methodCancel, d.request(id, nil))
-	s.Logger.Info("cancel", "job", id, "queue", d.queue.ID, "outcome", r.Outcome, "unsure", uncertain, "version", d.config.version())
+	s.Logger.Info("cancel", "job", id, "queue", d.queue.ID, "tenant", d.caller.Tenant, "outcome", r.Outcome, "unsure", uncertain, "version", d.config.version())
 	switch {
 	case r.Outcome == outcomeOK:
 		return true, nil
@@ -225,7 +240,22 @@
 // request returns the request to the owner of the queue's pool.
 func (d *Decision) request(id work.JobID, spec *work.Spec) request {
 	version := d.config.version()
-	return request{Job: id, Queue: d.queue, Spec: spec, Version: version, Known: max(version, d.service.Config.announced.Load()), Host: d.host, Path: d.path}
+	r := request{
+		Job: id, Queue: d.queue, Spec: spec, Version: version, Known: max(version, d.service.Config.announced.Load()), Host: d.host, Path: d.path,
+		Access: d.caller.Access, Tenant: d.caller.Tenant,
+	}
+	if d.caller.Access == work.AccessTenant {
+		r.Key = &d.key
+	}
+	return r
+}
+
+// keyLogged returns the beginning of the digest of the client's key for the log; empty if it has sent none that can be valid.
+func (d *Decision) keyLogged() string {
+	if d.key == (work.KeyDigest{}) {
+		return ""
+	}
+	return d.key.String()
 }
 
 // notRunError returns the error for a request that was not carried out, with the time after which to retry.
--- a/internal/jobd/decision_test.go
+++ b/internal/jobd/decision_test.go
@@ -26,7 +26,7 @@
 // mustDecide returns the decision on a request.
 func mustDecide(t *testing.T, s *Service, path string) *Decision {
 	t.Helper()
-	d, err := s.Decide("h", path)
+	d, err := s.Decide("h", path, work.KeyDigest{})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/jobd/service.go
+++ b/internal/jobd/service.go
@@ -96,6 +96,7 @@
 	outcomeUndecoded outcome = "undecoded" // the job is stored, and its owner can't decode it
 	outcomeNotOwner  outcome = "not_owner"
 	outcomeUncertain outcome = "unsure" // the request may have been carried out
+	outcomeIDInUse   outcome = "in_use" // the job's id is that of another tenant's job
 	// outcomeSuperseded is that of a request which a newer version of the configuration decides anew: the one that the entry
 	// has, or the owner.
 	outcomeSuperseded outcome = "superseded"
@@ -111,6 +112,9 @@
 	Known      int64            `cbor:"6,keyasint,omitempty"` // the newest version that the sender knows of
 	Host       string           `cbor:"7,keyasint,omitempty"`
 	Path       string           `cbor:"8,keyasint,omitempty"`
+	Access     work.Access      `cbor:"9,keyasint,omitempty"` // empty if the sender doesn't know tenants
+	Tenant     work.TenantID    `cbor:"10,keyasint,omitempty"`
+	Key        *work.KeyDigest  `cbor:"11,keyasint,omitempty"` // nil unless the access is by a tenant's key
 }
 
 // response is the owner's response to a [request].
@@ -156,31 +160,14 @@
 	if !ok {
 		return response{Outcome: outcomeNotOwner}
 	}
-	queue, err := s.Config.decideAgain(m, req)
+	queue, caller, err := s.Config.decideAgain(m, req)
 	if err != nil {
 		s.Logger.Info("a request is decided by a version that is not the newest", "job", req.Job, "method", m, "queue", req.Queue.ID, "version", req.Version, "known", req.Known, "newest", s.Config.version(), "reason", err)
 		return response{Outcome: outcomeSuperseded}
 	}
 	req.Queue = queue
-	var r response
-	found := true
-	switch m {
-	case methodSubmit:
-		err = sh.Submit(ctx, req.Queue, req.Job, req.Spec)
-	case methodCancel:
-		found, err = sh.Cancel(ctx, req.Queue.Pool, req.Job)
-	case methodState:
-		r.State, found, err = sh.State(ctx, req.Queue.Pool, req.Job)
-	case methodPending:
-		r.Pending, err = sh.Pending(ctx, req.Queue.Pool, req.Queue.ID)
-	case methodReport:
-		var report sizer.Pool
-		if req.Directives == nil {
-			return response{Outcome: outcomeUncertain}
-		}
-		report, err = sh.Report(ctx, req.Queue.Pool, *req.Directives)
-		r.Report = &report
-	}
+	req.setTenant(caller)
+	r, found, err := execute(ctx, sh, caller, m, req)
 	var refused *shard.RefusedError
 	switch {
 	case err == nil && found:
@@ -189,6 +176,8 @@
 		r.Outcome = outcomeNoSuchJob
 	case errors.As(err, &refused):
 		r.Outcome, r.RetryAfter = outcomeRefused, refused.RetryAfter
+	case errors.Is(err, shard.ErrIDInUse):
+		r.Outcome = outcomeIDInUse
 	case errors.Is(err, shard.ErrInvalid):
 		r.Outcome = outcomeInvalid
 	case errors.Is(err, shard.ErrUndecoded):
@@ -203,6 +192,32 @@
 	return r
 }
 
+// execute passes a request to the owner of its pool. found is false if there is no such job for the caller.
+func execute(ctx context.Context, sh *shard.Shard, caller work.Caller, m link.Method, req request) (r response, found bool, err error) {
+	found = true
+	switch m {
+	case methodSubmit:
+		err = sh.Submit(ctx, req.Queue, req.Job, req.Spec)
+		if caller.Access == work.AccessOpen && errors.Is(err, shard.ErrIDInUse) {
+			err = nil // the caller sees the jobs of all tenants, as does a client that repeats its submission
+		}
+	case methodCancel:
+		found, err = sh.Cancel(ctx, caller, req.Queue.Pool, req.Job)
+	case methodState:
+		r.State, found, err = sh.State(ctx, caller, req.Queue.Pool, req.Job)
+	case methodPending:
+		r.Pending, err = sh.Pending(ctx, req.Queue.Pool, req.Queue.ID)
+	case methodReport:
+		var report sizer.Pool
+		if req.Directives == nil {
+			return r, false, errors.New("a request for a report without directives")
+		}
+		report, err = sh.Report(ctx, req.Queue.Pool, *req.Directives)
+		r.Report = &report
+	}
+	return r, found, err
+}
+
 // partitionOf returns the partition that a pool belongs to.
 func (s *Service) partitionOf(pool ident.PoolID) plog.TopicPartition {
 	return plog.TopicPartition{Topic: shard.JobsTopic, Partition: shard.PartitionOf(pool, s.Partitions)}
--- a/internal/jobs/job.go
+++ b/internal/jobs/job.go
@@ -95,7 +95,7 @@
 			}
 		}
 	}
-	j.occurrences, j.spec, j.stripped = nil, &work.Spec{}, true
+	j.occurrences, j.spec, j.stripped = nil, &work.Spec{Tenant: j.tenant}, true
 }
 
 // createDueOccurrences creates the occurrences that have become due and reports whether there are any.
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -15,11 +15,12 @@
 	Queues  []work.Queue
 	Tenants []work.Tenant           // as in [work.Config]
 	byHost  map[string][]work.Route // longest prefix first
+	byKey   map[work.KeyDigest]work.TenantID
 }
 
 // New returns the table of a configuration.
 func New(c *work.Config) *Table {
-	t := &Table{Version: c.Version, MaxBody: c.MaxBody, Pools: c.Pools, Tenants: c.Tenants, byHost: map[string][]work.Route{}}
+	t := &Table{Version: c.Version, MaxBody: c.MaxBody, Pools: c.Pools, Tenants: c.Tenants, byHost: map[string][]work.Route{}, byKey: tenantsByKey(c.Tenants)}
 	for _, r := range c.Routes {
 		host := strings.ToLower(r.Host)
 		t.byHost[host] = append(t.byHost[host], r)
--- a/internal/shard/reject_test.go
+++ b/internal/shard/reject_test.go
@@ -83,7 +83,7 @@
 		if err := <-result; !errors.Is(err, want) {
 			t.Errorf("submit of %s: %v, want %v", id, err, want)
 		}
-		if _, known, err := s.State(ctx, "p", work.JobID(id)); err != nil || known != (want == nil) {
+		if _, known, err := s.State(ctx, anyone, "p", work.JobID(id)); err != nil || known != (want == nil) {
 			t.Errorf("state of %s: known %v, error %v, want %v", id, known, err, want == nil)
 		}
 	}
@@ -103,7 +103,7 @@
 	<-s.Done()
 	log.maxAppend = 1 << 20
 	next := startShard(t, log, 2)
-	if state, known, err := next.State(t.Context(), "p", "0000000000000001"); state != work.Queued || !known || err != nil {
+	if state, known, err := next.State(t.Context(), anyone, "p", "0000000000000001"); state != work.Queued || !known || err != nil {
 		t.Errorf("state at the next owner: %q, known %v, error %v, want %q", state, known, err, work.Queued)
 	}
 }
--- a/internal/shard/requests.go
+++ b/internal/shard/requests.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
 
 	"github.com/toucanhatch/toucanhatch/internal/jobs"
 	"github.com/toucanhatch/toucanhatch/internal/plog"
@@ -27,10 +28,12 @@
 // Error says when to retry.
 func (e *RefusedError) Error() string { return "refused, come back in " + e.RetryAfter.String() }
 
-// Submit stores a job and returns once it is durable. A job that is known already is not changed.
+// Submit stores a job and returns once it is durable. A job that is known already is not changed; the error is [ErrIDInUse]
+// if it is another tenant's.
 func (s *Shard) Submit(ctx context.Context, queue work.Queue, id work.JobID, spec *work.Spec) error {
 	reply := make(chan error, 1)
-	return s.call(ctx, reply, func(now time.Time) {
+	inUse := false
+	err := s.call(ctx, reply, func(now time.Time) {
 		if s.undecoded[id] {
 			reply <- ErrUndecoded
 			return
@@ -42,6 +45,7 @@
 			return
 		}
 		if p.Known(id) { // stored, or part of a write whose outcome is not known
+			inUse = !p.sees(work.Caller{Tenant: spec.Tenant}, id)
 			s.replyWhenDurable(p, waiter{writeSeq: p.StoredBy(id), job: id, reply: reply})
 			return
 		}
@@ -56,10 +60,14 @@
 		}
 		s.replyWhenDurable(p, waiter{writeSeq: a.Write, job: id, newJob: true, reply: reply})
 	})
+	if err != nil && !errors.Is(err, ErrInvalid) {
+		return err
+	}
+	return submitError(err, inUse)
 }
 
-// Cancel cancels a job and returns once that is durable. known is false if there is no such job.
-func (s *Shard) Cancel(ctx context.Context, pool ident.PoolID, id work.JobID) (known bool, err error) {
+// Cancel cancels a job and returns once that is durable. known is false if there is no such job for the caller.
+func (s *Shard) Cancel(ctx context.Context, caller work.Caller, pool ident.PoolID, id work.JobID) (known bool, err error) {
 	reply := make(chan error, 1)
 	err = s.call(ctx, reply, func(now time.Time) {
 		if s.undecoded[id] {
@@ -67,8 +75,11 @@
 			return
 		}
 		p := s.pool(pool)
-		writeSeq, ok := p.Cancel(now, id)
-		if known = ok; !ok {
+		var writeSeq jobs.WriteSeq
+		if p.sees(caller, id) {
+			writeSeq, known = p.Cancel(now, id)
+		}
+		if !known {
 			s.proveOwnership(reply)
 			return
 		}
@@ -77,8 +88,8 @@
 	return known, err
 }
 
-// State returns the state of a job.
-func (s *Shard) State(ctx context.Context, pool ident.PoolID, id work.JobID) (state work.JobState, known bool, err error) {
+// State returns the state of a job. known is false if there is no such job for the caller.
+func (s *Shard) State(ctx context.Context, caller work.Caller, pool ident.PoolID, id work.JobID) (state work.JobState, known bool, err error) {
 	reply := make(chan error, 1)
 	err = s.call(ctx, reply, func(time.Time) {
 		if s.undecoded[id] {
@@ -86,7 +97,9 @@
 			return
 		}
 		p := s.pool(pool)
-		state, known = p.State(id, p.durable)
+		if p.sees(caller, id) {
+			state, known = p.State(id, p.durable)
+		}
 		if !known {
 			s.proveOwnership(reply)
 			return
--- a/internal/shard/shard_test.go
+++ b/internal/shard/shard_test.go
@@ -49,6 +49,9 @@
 	return s
 }
 
+// anyone is the caller of a configuration without tenants.
+var anyone = work.Caller{Access: work.AccessOpen}
+
 var (
 	testQueue = work.Queue{ID: "q", Pool: "p", MaxAttempts: 2, SlackFactor: 2, Objective: time.Second}
 	testSpec  = &work.Spec{Steps: []work.Step{{Count: 1, Need: work.Resources{CPU: 100}, Estimate: time.Second}}}
@@ -64,10 +67,10 @@
 	if err := next.Submit(ctx, testQueue, "0000000000000001", testSpec); err != nil {
 		t.Fatalf("submit: %v", err)
 	}
-	if known, err := previous.Cancel(ctx, "p", "0000000000000001"); err == nil {
+	if known, err := previous.Cancel(ctx, anyone, "p", "0000000000000001"); err == nil {
 		t.Errorf("the previous owner answers a cancel with known = %v, want an error", known)
 	}
-	if _, known, err := next.State(ctx, "p", "0000000000000002"); err != nil || known {
+	if _, known, err := next.State(ctx, anyone, "p", "0000000000000002"); err != nil || known {
 		t.Errorf("state of an unknown job: known %v, error %v, want false without an error", known, err)
 	}
 }
@@ -143,7 +146,7 @@
 			t.Errorf("submit in a write that was answered late: %v", err)
 		}
 	}
-	if _, known, err := s.State(t.Context(), "p", "0000000000000002"); known || err != nil {
+	if _, known, err := s.State(t.Context(), anyone, "p", "0000000000000002"); known || err != nil {
 		t.Errorf("the refused job is known: %v, error %v", known, err)
 	}
 }
@@ -187,7 +190,7 @@
 		t.Fatalf("submit: %v", err)
 	}
 	next := startShard(t, log, 2)
-	state, known, err := next.State(t.Context(), "p", "0000000000000001")
+	state, known, err := next.State(t.Context(), anyone, "p", "0000000000000001")
 	if err != nil || !known || state != work.Queued {
 		t.Errorf("state %q, known %v, error %v, want %q", state, known, err, work.Queued)
 	}
@@ -205,7 +208,7 @@
 		if err := s.Submit(t.Context(), testQueue, id, testSpec); err != nil {
 			t.Fatalf("submit %d: %v", i, err)
 		}
-		if _, known, err := s.State(t.Context(), "p", "00000000000000ff"); err != nil || known {
+		if _, known, err := s.State(t.Context(), anyone, "p", "00000000000000ff"); err != nil || known {
 			t.Fatalf("state of an unknown job: known %v, error %v", known, err)
 		}
 	}
@@ -301,7 +304,7 @@
 	}
 	requestErr := make(chan error, 1)
 	go func() {
-		_, _, err := s.State(t.Context(), "p", "0000000000000002") // waits for a proof of ownership, or finds the owner ended
+		_, _, err := s.State(t.Context(), anyone, "p", "0000000000000002") // waits for a proof of ownership, or finds the owner ended
 		requestErr <- err
 	}()
 	s.post(func(time.Time) { panic("a malformed job") })
@@ -311,7 +314,7 @@
 	}
 	noResponse.Store(false)
 	next := startShard(t, log, 2)
-	if _, known, err := next.State(t.Context(), "p", "0000000000000001"); err != nil || !known {
+	if _, known, err := next.State(t.Context(), anyone, "p", "0000000000000001"); err != nil || !known {
 		t.Errorf("the next owner: known %v, error %v, want the stored job", known, err)
 	}
 }
@@ -348,10 +351,10 @@
 // Guards against a job that is denied by an owner which could read only a part of what is stored.
 func TestPartOfTheRecordsDeniesNoJob(t *testing.T) {
 	s := startShard(t, partialLog{&fakes.Log{}}, 1)
-	if _, known, err := s.State(t.Context(), "p", "0000000000000001"); !errors.Is(err, ErrUndecoded) {
+	if _, known, err := s.State(t.Context(), anyone, "p", "0000000000000001"); !errors.Is(err, ErrUndecoded) {
 		t.Errorf("state: known %v, error %v, want %v", known, err, ErrUndecoded)
 	}
-	if known, err := s.Cancel(t.Context(), "p", "0000000000000001"); !errors.Is(err, ErrUndecoded) {
+	if known, err := s.Cancel(t.Context(), anyone, "p", "0000000000000001"); !errors.Is(err, ErrUndecoded) {
 		t.Errorf("cancel: known %v, error %v, want %v", known, err, ErrUndecoded)
 	}
 	if err := s.Submit(t.Context(), testQueue, "0000000000000002", testSpec); err != nil {
