--- a/internal/shard/visible_test.go
+++ b/internal/shard/visible_test.go
@@ -164,3 +164,21 @@
 		t.Errorf("report: %v", err)
 	}
 }
+
+// Guards against a submission that is called invalid because the log rejects another tenant's job of that id.
+func TestSubmitError(t *testing.T) {
+	for _, test := range []struct {
+		err   error
+		inUse bool
+		want  error
+	}{
+		{nil, false, nil},
+		{nil, true, ErrIDInUse},
+		{ErrInvalid, false, ErrInvalid},
+		{ErrInvalid, true, ErrNotStored},
+	} {
+		if got := submitError(test.err, test.inUse); !errors.Is(got, test.want) {
+			t.Errorf("error %v, in use %v: %v, want %v", test.err, test.inUse, got, test.want)
+		}
+	}
+}
