rank: postpone the jobs of the tenant that is furthest over its share

Cause: in a burst the largest jobs are postponed, whoever sent them, so that one tenant's load makes the jobs of all others late.

Change: jobs carry the index and the weight of their tenant. Where not all can be in time, the largest job of the tenant with the most planned work relative to its weight is postponed or given up. In fitTogether that tenant's late jobs are given up before another tenant's jobs on time are postponed for them.

--- a/internal/rank/plan.go
+++ b/internal/rank/plan.go
@@ -51,48 +51,52 @@
 // fitOnTime postpones jobs of ClassOnTime until the rest of them can be completed
 // in time. It goes through the jobs by deadline, and whenever their total CPU time
 // exceeds what the cores provide until the deadline, it postpones the largest job
-// so far that has not started.
+// so far that has not started, of the tenant that is furthest over its share.
 func (p *plan) fitOnTime() {
 	if p.cores <= 0 {
 		return
 	}
-	var candidates jobHeap
+	candidates := newShares(p.jobs)
 	total := time.Duration(0)
 	for _, i := range p.byTimeLeft(ClassOnTime) {
 		total += p.jobs[i].CPUTime
+		candidates.addWork(i)
 		if !p.jobs[i].Started {
-			p.pushByCPUTime(&candidates, i)
+			candidates.addCandidate(i, ClassOnTime)
 		}
-		for len(candidates) > 0 && p.exceeds(total, p.jobs[i].timeLeft(ClassOnTime)) {
-			total -= p.downgradeLargest(&candidates, ClassLate)
+		for !candidates.empty() && p.exceeds(total, p.jobs[i].timeLeft(ClassOnTime)) {
+			total -= p.jobs[p.downgrade(candidates)].CPUTime
 		}
 	}
 }
 
 // fitLate gives up late jobs in the same way until the rest of them can be completed, behind all jobs on time, while they
-// are of use.
+// are of use. The jobs on time count toward their tenants' shares.
 func (p *plan) fitLate() {
 	if p.cores <= 0 {
 		return
 	}
-	var candidates jobHeap
+	candidates := newShares(p.jobs)
 	total := time.Duration(0)
 	for i := range p.jobs {
 		if p.class[i] == ClassOnTime {
 			total += p.jobs[i].CPUTime
+			candidates.addWork(i)
 		}
 	}
 	for _, i := range p.byTimeLeft(ClassLate) {
 		total += p.jobs[i].CPUTime
-		p.pushByCPUTime(&candidates, i)
-		for len(candidates) > 0 && p.exceeds(total, p.jobs[i].timeLeft(ClassLate)) {
-			total -= p.downgradeLargest(&candidates, ClassExpired)
+		candidates.addWork(i)
+		candidates.addCandidate(i, ClassLate)
+		for !candidates.empty() && p.exceeds(total, p.jobs[i].timeLeft(ClassLate)) {
+			total -= p.jobs[p.downgrade(candidates)].CPUTime
 		}
 	}
 }
 
 // fitTogether goes through the jobs of both classes by the time that is left. It postpones jobs on time also where a late
-// job could not be completed otherwise, and gives up a late job only where no job is left to postpone.
+// job could not be completed otherwise, and gives up a late job only where its tenant, which is the one furthest over its
+// share, has no job left to postpone.
 func (p *plan) fitTogether() {
 	p.mixed = true
 	if p.cores <= 0 {
@@ -104,39 +108,31 @@
 			heap.Push(&pending, heapItem{i, p.jobs[i].timeLeft(c)})
 		}
 	}
-	var onTime, late jobHeap
+	candidates := newShares(p.jobs)
 	total := time.Duration(0)
 	for len(pending) > 0 {
 		next := heap.Pop(&pending).(heapItem)
 		job := &p.jobs[next.index]
 		total += job.CPUTime
-		if p.class[next.index] == ClassLate {
-			p.pushByCPUTime(&late, next.index)
-		} else if !job.Started {
-			p.pushByCPUTime(&onTime, next.index)
+		candidates.addWork(next.index)
+		if p.class[next.index] == ClassLate || !job.Started {
+			candidates.addCandidate(next.index, p.class[next.index])
 		}
-		for len(onTime)+len(late) > 0 && p.exceeds(total, next.key) {
-			if len(onTime) == 0 {
-				total -= p.downgradeLargest(&late, ClassExpired)
-				continue
+		for !candidates.empty() && p.exceeds(total, next.key) {
+			index := p.downgrade(candidates)
+			total -= p.jobs[index].CPUTime
+			if p.class[index] == ClassLate {
+				heap.Push(&pending, heapItem{index, p.jobs[index].timeLeft(ClassLate)})
 			}
-			postponed := onTime[0].index
-			total -= p.downgradeLargest(&onTime, ClassLate)
-			heap.Push(&pending, heapItem{postponed, p.jobs[postponed].timeLeft(ClassLate)})
 		}
 	}
 }
 
-// pushByCPUTime pushes a job onto a heap that has the one with the most CPU time on top.
-func (p *plan) pushByCPUTime(h *jobHeap, index int) {
-	heap.Push(h, heapItem{index, -p.jobs[index].CPUTime})
-}
-
-// downgradeLargest removes the job with the most CPU time from a heap, moves it to class c, and returns its CPU time.
-func (p *plan) downgradeLargest(h *jobHeap, c Class) time.Duration {
-	largest := heap.Pop(h).(heapItem).index
-	p.class[largest] = c
-	return p.jobs[largest].CPUTime
+// downgrade moves a job from the candidates to the next class and returns its index.
+func (p *plan) downgrade(candidates *shares) int {
+	index, c := candidates.take()
+	p.class[index] = c
+	return index
 }
 
 // order returns the jobs in the order in which they get resources.
--- a/internal/rank/rank.go
+++ b/internal/rank/rank.go
@@ -11,6 +11,8 @@
 	Remaining time.Duration // expected length of the longest chain of steps that are left
 	Started   bool
 	CPUTime   time.Duration // expected CPU time left, as time on one core
+	Tenant    int           // index of its tenant, from 0; the same for all jobs if there are no tenants
+	Weight    float64       // of its tenant: the tenant's share relative to the others
 }
 
 // Class is a group of jobs; jobs of a lower class go first, except that late jobs may go among those on time.
@@ -73,6 +75,8 @@
 // If the cores can't complete all jobs in time, as few jobs as possible are
 // postponed, namely those that need the most CPU time and have not started:
 // working on more jobs than can be completed in time would make all of them late.
+// With several tenants, each is the largest job of the tenant whose planned work
+// is the most relative to its weight.
 // Postponed jobs go behind the others. Where they would then expire, they go
 // among the others by their own last useful times instead, unless that makes more
 // than maxDelayedPerRescue jobs late for each job that it rescues.
