rank: jobs of tenants over their shares go behind the others

Cause: postponing alone doesn't keep a tenant's load from the others. Near the limit of what the cores can do, estimates that are too low make all jobs a bit late, and with a mild overload nothing is postponed.

Change: tenants whose work doesn't fit into the share of the cores that holds although tasks take up to 1.9 times their estimate are over their shares; their jobs go behind the others' of the same class and priority. The largest job of a tenant doesn't count there. Heaps no longer allocate for each job.

Order without tenants as before.

--- a/internal/rank/plan.go
+++ b/internal/rank/plan.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"container/heap"
 	"slices"
 	"time"
 )
@@ -12,7 +11,8 @@
 	jobs  []Job
 	class []Class
 	cores float64
-	mixed bool // late jobs go among those on time, by the time that is left
+	mixed bool   // late jobs go among those on time, by the time that is left
+	over  []bool // by tenant; nil if none is over its share
 }
 
 func newPlan(jobs []Job, own []Class, cores float64) *plan {
@@ -105,13 +105,13 @@
 	var pending jobHeap // by the time that is left
 	for _, c := range []Class{ClassOnTime, ClassLate} {
 		for _, i := range p.byTimeLeft(c) {
-			heap.Push(&pending, heapItem{i, p.jobs[i].timeLeft(c)})
+			pending.push(heapItem{i, p.jobs[i].timeLeft(c)})
 		}
 	}
 	candidates := newShares(p.jobs)
 	total := time.Duration(0)
 	for len(pending) > 0 {
-		next := heap.Pop(&pending).(heapItem)
+		next := pending.pop()
 		job := &p.jobs[next.index]
 		total += job.CPUTime
 		candidates.addWork(next.index)
@@ -122,7 +122,7 @@
 			index := p.downgrade(candidates)
 			total -= p.jobs[index].CPUTime
 			if p.class[index] == ClassLate {
-				heap.Push(&pending, heapItem{index, p.jobs[index].timeLeft(ClassLate)})
+				pending.push(heapItem{index, p.jobs[index].timeLeft(ClassLate)})
 			}
 		}
 	}
@@ -165,11 +165,24 @@
 	case ClassExpired:
 		return cmp.Or(byPriority, cmp.Compare(a.CPUTime, b.CPUTime))
 	default:
-		return cmp.Or(byPriority, cmp.Compare(a.slack(x.Class), b.slack(y.Class)))
+		return cmp.Or(byPriority, p.compareShares(a, b), cmp.Compare(a.slack(x.Class), b.slack(y.Class)))
 	}
 }
 
-// jobHeap is a heap of jobs with the one that has the lowest key on top.
+// compareShares puts the jobs of tenants within their shares first.
+func (p *plan) compareShares(a, b *Job) int {
+	switch {
+	case p.over == nil || p.over[a.Tenant] == p.over[b.Tenant]:
+		return 0
+	case p.over[b.Tenant]:
+		return -1
+	default:
+		return 1
+	}
+}
+
+// jobHeap is a heap of jobs with the one that has the lowest key on top. It works like container/heap, without the
+// allocation of each item that an interface needs.
 type jobHeap []heapItem
 
 type heapItem struct {
@@ -177,17 +190,38 @@
 	key   time.Duration
 }
 
-func (h jobHeap) Len() int           { return len(h) }
-func (h jobHeap) Less(i, j int) bool { return h[i].key < h[j].key }
-func (h jobHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
-
-// Push implements heap.Interface.
-func (h *jobHeap) Push(x any) { *h = append(*h, x.(heapItem)) }
+func (h *jobHeap) push(x heapItem) {
+	*h = append(*h, x)
+	items := *h
+	for i := len(items) - 1; i > 0; {
+		parent := (i - 1) / 2
+		if items[i].key >= items[parent].key {
+			return
+		}
+		items[i], items[parent] = items[parent], items[i]
+		i = parent
+	}
+}
 
-// Pop implements heap.Interface.
-func (h *jobHeap) Pop() any {
-	old := *h
-	x := old[len(old)-1]
-	*h = old[:len(old)-1]
-	return x
+func (h *jobHeap) pop() heapItem {
+	items := *h
+	last := len(items) - 1
+	items[0], items[last] = items[last], items[0]
+	top := items[last]
+	items = items[:last]
+	*h = items
+	for i := 0; ; {
+		child := 2*i + 1
+		if child >= len(items) {
+			return top
+		}
+		if child+1 < len(items) && items[child+1].key < items[child].key {
+			child++
+		}
+		if items[child].key >= items[i].key {
+			return top
+		}
+		items[i], items[child] = items[child], items[i]
+		i = child
+	}
 }
--- a/internal/rank/rank.go
+++ b/internal/rank/rank.go
@@ -76,7 +76,8 @@
 // postponed, namely those that need the most CPU time and have not started:
 // working on more jobs than can be completed in time would make all of them late.
 // With several tenants, each is the largest job of the tenant whose planned work
-// is the most relative to its weight.
+// is the most relative to its weight, and the jobs of tenants that are over their
+// shares go behind the others of their class and priority.
 // Postponed jobs go behind the others. Where they would then expire, they go
 // among the others by their own last useful times instead, unless that makes more
 // than maxDelayedPerRescue jobs late for each job that it rescues.
@@ -97,5 +98,6 @@
 			planned = rescuing
 		}
 	}
+	planned.over = findOver(jobs, own, cores)
 	return planned.order()
 }
--- a/internal/rank/shares.go
+++ b/internal/rank/shares.go
@@ -1,12 +1,18 @@
 package rank
 
 import (
-	"container/heap"
+	"cmp"
+	"slices"
 	"time"
 )
 
-// minWeight stands in for a weight of 0, so that ratios remain comparable.
-const minWeight = 1e-9
+const (
+	// safeShare is the fraction of the cores that completes all planned work although tasks take up to 1.9 times as long as
+	// estimated.
+	safeShare = usableShare / 1.9
+	// minWeight stands in for a weight of 0, so that ratios remain comparable.
+	minWeight = 1e-9
+)
 
 // shares holds the jobs that may be downgraded, by tenant, and the work that is planned for each tenant.
 type shares struct {
@@ -25,12 +31,17 @@
 	onTime, late jobHeap // the job with the most CPU time is on top
 }
 
-func newShares(jobs []Job) *shares {
+// tenants returns the number of tenants by the largest index.
+func tenants(jobs []Job) int {
 	n := 1
 	for i := range jobs {
 		n = max(n, jobs[i].Tenant+1)
 	}
-	s := &shares{jobs: jobs, tenants: make([]tenantShare, n)}
+	return n
+}
+
+func newShares(jobs []Job) *shares {
+	s := &shares{jobs: jobs, tenants: make([]tenantShare, tenants(jobs))}
 	for i := range jobs {
 		s.tenants[jobs[i].Tenant].weight = max(jobs[i].Weight, minWeight)
 	}
@@ -48,9 +59,9 @@
 	job := &s.jobs[index]
 	t := &s.tenants[job.Tenant]
 	if c == ClassOnTime {
-		heap.Push(&t.onTime, heapItem{index, -job.CPUTime})
+		t.onTime.push(heapItem{index, -job.CPUTime})
 	} else {
-		heap.Push(&t.late, heapItem{index, -job.CPUTime})
+		t.late.push(heapItem{index, -job.CPUTime})
 	}
 	if t.position == 0 {
 		s.order = append(s.order, job.Tenant)
@@ -68,7 +79,7 @@
 	if len(t.onTime) == 0 {
 		candidates, c = &t.late, ClassExpired
 	}
-	index = heap.Pop(candidates).(heapItem).index
+	index = candidates.pop().index
 	s.change(tenant, -s.jobs[index].CPUTime)
 	if len(t.onTime)+len(t.late) == 0 {
 		last := len(s.order) - 1
@@ -131,3 +142,47 @@
 		i = child
 	}
 }
+
+// findOver returns which tenants are over their shares while the cores may not complete all jobs in time; nil if none is.
+//
+// A plan for all usable cores leaves no room for estimates that are too low: near
+// the limit all jobs are completed shortly after their objectives, those of
+// tenants within their shares as well. So it is found out for fewer cores, and the
+// jobs of the tenants that are over their shares go behind. The largest job of a
+// tenant doesn't count, since of a tenant with a small weight a single job may be
+// more than its share.
+func findOver(jobs []Job, own []Class, cores float64) []bool {
+	n := tenants(jobs)
+	if n == 1 || cores <= 0 {
+		return nil
+	}
+	due := make([]heapItem, 0, len(jobs))
+	largest := make([]time.Duration, n)
+	candidates := newShares(jobs)
+	for i := range jobs {
+		if own[i] == ClassOnTime || own[i] == ClassLate {
+			due = append(due, heapItem{i, jobs[i].timeLeft(own[i])})
+			candidates.addWork(i)
+			largest[jobs[i].Tenant] = max(largest[jobs[i].Tenant], jobs[i].CPUTime)
+		}
+	}
+	for tenant, work := range largest {
+		candidates.change(tenant, -work)
+	}
+	slices.SortFunc(due, func(a, b heapItem) int { return cmp.Compare(a.key, b.key) })
+	total := time.Duration(0)
+	var over []bool
+	for _, d := range due {
+		total += jobs[d.index].CPUTime
+		candidates.addCandidate(d.index, ClassOnTime)
+		for !candidates.empty() && float64(total) > safeShare*cores*float64(d.key) {
+			index, _ := candidates.take()
+			total -= jobs[index].CPUTime
+			if over == nil {
+				over = make([]bool, n)
+			}
+			over[jobs[index].Tenant] = true
+		}
+	}
+	return over
+}
--- a/internal/rank/shares_test.go
+++ b/internal/rank/shares_test.go
@@ -9,6 +9,20 @@
 	"time"
 )
 
+// The methods of heap.Interface, for the reference.
+
+func (h jobHeap) Len() int           { return len(h) }
+func (h jobHeap) Less(i, j int) bool { return h[i].key < h[j].key }
+func (h jobHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+func (h *jobHeap) Push(x any)        { *h = append(*h, x.(heapItem)) }
+
+func (h *jobHeap) Pop() any {
+	old := *h
+	x := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return x
+}
+
 // plainSort is Sort as it was before jobs had tenants, the reference for pools without tenants.
 func plainSort(jobs []Job, cores float64) []Position {
 	own := make([]Class, len(jobs))
@@ -220,6 +234,18 @@
 	}
 }
 
+// Guards against a tenant with a small weight whose only job counts as more than its share: beside a tenant with many jobs,
+// the job goes first although its deadline is later.
+func TestOnlyJobOfSmallTenantGoesFirst(t *testing.T) {
+	jobs := []Job{{Objective: 5 * time.Second, Remaining: time.Second, CPUTime: 20 * time.Second, Tenant: 1, Weight: 0.01}}
+	for range 30 {
+		jobs = append(jobs, Job{Objective: 3 * time.Second, Remaining: time.Second, CPUTime: 10 * time.Second, Weight: 1})
+	}
+	if got := Sort(jobs, 150)[0]; got.Index != 0 || got.Class != ClassOnTime {
+		t.Errorf("first is job %d of class %d, want the only job of its tenant on time", got.Index, got.Class)
+	}
+}
+
 // BenchmarkSort measures the order of 4,000 jobs in a burst of several times the capacity.
 func BenchmarkSort(b *testing.B) {
 	for _, tenants := range []int{1, 20, 120} {
