admit, jobs: a tenant's jobs are admitted within its share

Cause: admission counts the backlog of the whole pool, so that one tenant's load refuses the jobs of all.

Change: a job that the pool's backlog would make too late is admitted if the work of its own tenant that goes before it can be done in time on the tenant's share of the cores: its weight over those of the tenants with work. Only started jobs and jobs not larger than it count as going before it. A job that the tenant's backlog behind its cap makes too late is refused; the cap comes from Pool.TenantCores, which nothing sets yet. Retry-After follows from the limit that refused. Jobs without a tenant, or of a tenant that isn't configured, count as those of one tenant each of the mean weight. Where the configuration has no tenants, decisions are as before.

--- a/internal/admit/admit.go
+++ b/internal/admit/admit.go
@@ -11,6 +11,20 @@
 	// CapacityUnknown means that Capacity and Reserve may be far too low: this process has just taken over the pool, or no
 	// fleet controller tells it what other pools could give.
 	CapacityUnknown bool
+	// Tenant is the part of the job's tenant; nil if the deployment has no tenants.
+	Tenant *TenantLoad
+}
+
+// TenantLoad is the accepted work of one tenant in a pool and what the tenant may use of the pool.
+type TenantLoad struct {
+	Backlog time.Duration // its part of [Load.Backlog]
+	// Ahead is the part of Backlog that gets resources before the new job: started jobs, and jobs that need no more CPU time.
+	Ahead time.Duration
+	// Share is the tenant's weight as a fraction of the weights of all tenants that have work in the pool, itself included.
+	Share float64
+	// CapCores is the number of cores that the tenant's cap leaves it in this pool; 0 if no cap limits them. It is what the
+	// tenant can get, not what the pool may use for it at the moment.
+	CapCores float64
 }
 
 // Demand describes a new job.
@@ -29,8 +43,20 @@
 	Reason     string
 	Wait       time.Duration // expected time until its first task can start
 	RetryAfter time.Duration // when the client should retry, if refused
+	Limit      Limit         // what the job is refused for; empty if it is admitted
 }
 
+// Limit is what a job is refused for.
+type Limit string
+
+// The limits.
+const (
+	LimitJobs  Limit = "jobs"  // the number of active jobs
+	LimitPool  Limit = "pool"  // the pool's backlog
+	LimitShare Limit = "share" // the tenant's backlog, behind its share of the pool; the pool's backlog is too long as well
+	LimitCap   Limit = "cap"   // the tenant's backlog, behind its cap
+)
+
 const (
 	// maxLateness is the latest expected completion that is accepted, as a multiple of
 	// the objective. A result within three times the objective still has some value.
@@ -43,13 +69,22 @@
 )
 
 // Decide admits or refuses a job.
+//
+// A job of a tenant is also admitted if the work of its tenant that goes before it
+// lets it complete in time on the tenant's share of the capacity. The shares of
+// tenants without work are divided among the others.
 func Decide(l Load, d Demand) Decision {
 	if l.Jobs >= maxJobs {
-		return Decision{Reason: "too many active jobs", RetryAfter: maxRetry}
+		return Decision{Reason: "too many active jobs", RetryAfter: maxRetry, Limit: LimitJobs}
 	}
 	if d.Service || d.Scheduled {
 		return Decision{Admit: true}
 	}
+	if l.Tenant != nil && l.Tenant.CapCores > 0 {
+		if wait, excess := d.excess(l.Tenant.Backlog, l.Tenant.CapCores); excess > 0 {
+			return refuse("behind its tenant's backlog, the job would complete too late within the tenant's cap", LimitCap, wait, excess)
+		}
+	}
 	if l.CapacityUnknown {
 		return Decision{Admit: true, Reason: "the capacity that the pool can get is not known"}
 	}
@@ -57,13 +92,31 @@
 	if capacity <= 0 {
 		return Decision{Admit: true, Reason: "no target is known yet"}
 	}
-	wait := time.Duration(float64(l.Backlog) / capacity)
-	ownTime := max(d.LongestChain, time.Duration(float64(d.CPUTime)/capacity))
-	if excess := d.Elapsed + wait + ownTime - maxLateness*d.Objective; excess > 0 {
-		return Decision{
-			Reason: "behind the backlog, the job would complete too late", Wait: wait,
-			RetryAfter: min(max(excess, minRetry), maxRetry),
-		}
+	wait, excess := d.excess(l.Backlog, capacity)
+	if excess <= 0 {
+		return Decision{Admit: true, Wait: wait}
+	}
+	if l.Tenant == nil || l.Tenant.Share <= 0 {
+		return refuse("behind the backlog, the job would complete too late", LimitPool, wait, excess)
 	}
-	return Decision{Admit: true, Wait: wait}
+	wait, excess = d.excess(l.Tenant.Ahead, l.Tenant.Share*capacity)
+	if excess <= 0 {
+		return Decision{Admit: true, Wait: wait}
+	}
+	return refuse("behind the pool's backlog, and behind its tenant's in the tenant's share, the job would complete too late", LimitShare, wait, excess)
+}
+
+// excess returns how long the job waits behind a backlog on the given cores, and by how much it would complete too late.
+func (d *Demand) excess(backlog time.Duration, cores float64) (wait, excess time.Duration) {
+	wait = saturate(float64(backlog) / cores)
+	ownTime := max(d.LongestChain, saturate(float64(d.CPUTime)/cores))
+	return wait, d.Elapsed + wait + ownTime - maxLateness*d.Objective
+}
+
+// saturate converts nanoseconds to a duration of at most a day: a share may be so small that the time exceeds the range of
+// durations.
+func saturate(ns float64) time.Duration { return time.Duration(min(ns, float64(24*time.Hour))) }
+
+func refuse(reason string, limit Limit, wait, excess time.Duration) Decision {
+	return Decision{Reason: reason, Limit: limit, Wait: wait, RetryAfter: min(max(excess, minRetry), maxRetry)}
 }
--- a/internal/admit/admit_test.go
+++ b/internal/admit/admit_test.go
@@ -1,6 +1,7 @@
 package admit
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 )
@@ -31,3 +32,61 @@
 		}
 	}
 }
+
+// Guards against jobs that are refused for the backlog of other tenants, against shares that are counted beyond the tenant's
+// own work, and against work behind a cap that can't be done in time. A refused client is told when the backlog that its job
+// was refused for has drained.
+func TestTenantsShare(t *testing.T) {
+	job := Demand{CPUTime: 10 * time.Second, LongestChain: time.Second, Objective: 2 * time.Second} // of use for 6 s
+	for name, test := range map[string]struct {
+		load  Load
+		limit Limit // empty if the job is admitted
+		retry time.Duration
+	}{
+		"the pool's backlog alone":        {Load{Backlog: 600 * time.Second, Capacity: 100}, LimitPool, time.Second},
+		"share without backlog":           {Load{Backlog: 600 * time.Second, Capacity: 100, Tenant: &TenantLoad{Share: 0.1}}, "", 0},
+		"share with 4 s of backlog":       {Load{Backlog: 600 * time.Second, Capacity: 100, Tenant: &TenantLoad{Backlog: 40 * time.Second, Ahead: 40 * time.Second, Share: 0.1}}, "", 0},
+		"share with 8 s of backlog":       {Load{Backlog: 600 * time.Second, Capacity: 100, Tenant: &TenantLoad{Backlog: 80 * time.Second, Ahead: 80 * time.Second, Share: 0.1}}, LimitShare, 3 * time.Second},
+		"share with 8 s behind the job":   {Load{Backlog: 600 * time.Second, Capacity: 100, Tenant: &TenantLoad{Backlog: 80 * time.Second, Share: 0.1}}, "", 0},
+		"a pool with room for the tenant": {Load{Backlog: 80 * time.Second, Capacity: 100, Tenant: &TenantLoad{Backlog: 80 * time.Second, Ahead: 80 * time.Second, Share: 0.1}}, "", 0},
+		"weight 0":                        {Load{Backlog: 600 * time.Second, Capacity: 100, Tenant: &TenantLoad{}}, LimitPool, time.Second},
+		"a tiny share":                    {Load{Backlog: 600 * time.Second, Capacity: 100, Tenant: &TenantLoad{Share: 1e-18}}, LimitShare, maxRetry},
+		"cap with 4 s of backlog":         {Load{Backlog: 40 * time.Second, Capacity: 100, Tenant: &TenantLoad{Backlog: 40 * time.Second, Share: 1, CapCores: 10}}, "", 0},
+		"cap with 8 s of backlog":         {Load{Backlog: 80 * time.Second, Capacity: 100, Tenant: &TenantLoad{Backlog: 80 * time.Second, Share: 1, CapCores: 10}}, LimitCap, 3 * time.Second},
+		"cap, capacity not known":         {Load{Backlog: 80 * time.Second, CapacityUnknown: true, Tenant: &TenantLoad{Backlog: 80 * time.Second, Share: 1, CapCores: 10}}, LimitCap, 3 * time.Second},
+	} {
+		got := Decide(test.load, job)
+		if got.Limit != test.limit || got.Admit != (test.limit == "") || got.RetryAfter != test.retry {
+			t.Errorf("%s: admitted %v, limit %q, retry after %v; want limit %q, retry after %v", name, got.Admit, got.Limit, got.RetryAfter, test.limit, test.retry)
+		}
+	}
+}
+
+// Guards against other decisions than before where a deployment has no tenants: on random loads, a job is admitted or refused
+// by the pool's backlog alone.
+func TestWithoutTenantsPoolDecides(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 2))
+	seconds := func(most float64) time.Duration { return time.Duration(most * rng.Float64() * float64(time.Second)) }
+	for range 2000 {
+		l := Load{Backlog: seconds(400), Capacity: float64(rng.IntN(60)), Reserve: float64(rng.IntN(20)), Jobs: rng.IntN(maxJobs + 100), CapacityUnknown: rng.IntN(5) == 0}
+		d := Demand{CPUTime: seconds(60), LongestChain: seconds(2), Objective: seconds(4), Elapsed: seconds(3), Service: rng.IntN(10) == 0, Scheduled: rng.IntN(10) == 0}
+		cores := l.Capacity + l.Reserve
+		want := Decision{Admit: true}
+		switch {
+		case l.Jobs >= maxJobs:
+			want = Decision{RetryAfter: maxRetry}
+		case d.Service || d.Scheduled || l.CapacityUnknown || cores <= 0:
+		default:
+			want.Wait = time.Duration(float64(l.Backlog) / cores)
+			excess := d.Elapsed + want.Wait + max(d.LongestChain, time.Duration(float64(d.CPUTime)/cores)) - maxLateness*d.Objective
+			if excess > 0 {
+				want.Admit, want.RetryAfter = false, min(max(excess, minRetry), maxRetry)
+			}
+		}
+		got := Decide(l, d)
+		got.Reason, got.Limit = "", ""
+		if got != want {
+			t.Fatalf("load %+v, demand %+v: decision %+v, want %+v", l, d, got, want)
+		}
+	}
+}
--- a/internal/jobs/event.go
+++ b/internal/jobs/event.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/toucanhatch/toucanhatch/internal/admit"
 	"github.com/toucanhatch/toucanhatch/internal/work"
 )
 
@@ -43,4 +44,10 @@
 	Delay   time.Duration // accepted: expected wait; refused: when to retry; completed: time since the first submission
 	// Objective is the time within which a completed job should have been completed; 0 if unknown.
 	Objective time.Duration
+	// Tenant is that of an accepted, refused or completed job; empty if it has none.
+	Tenant work.TenantID
+	// Limit is what a job was refused for. Backlog and Share are those of its tenant in the pool, if there are tenants.
+	Limit   admit.Limit
+	Backlog time.Duration
+	Share   float64
 }
--- a/internal/jobs/job.go
+++ b/internal/jobs/job.go
@@ -14,6 +14,7 @@
 	id              work.JobID
 	queue           work.QueueID
 	tenant          work.TenantID // empty if the job belongs to none
+	share           *tenantShare  // of its tenant; set when it is added to the pool
 	spec            *work.Spec
 	submitted       time.Time // wall time of the first submission, which may have been refused
 	canceled        bool
--- a/internal/jobs/plan.go
+++ b/internal/jobs/plan.go
@@ -45,6 +45,7 @@
 	if !runnable {
 		return nil
 	}
+	p.setRankTenants(views)
 	var out []*job
 	for _, position := range rank.Sort(views, p.usableCores()) {
 		if j := p.active[position.Index]; j.hasRunnable() {
--- a/internal/jobs/pool.go
+++ b/internal/jobs/pool.go
@@ -23,6 +23,8 @@
 	// OwnedSince is when the owner took over the pool. Until its targets have had time to report, no job is refused
 	// because of the load.
 	OwnedSince time.Time
+	// TenantCores, if not nil, returns the cores that a tenant's cap leaves it in this pool; 0 if no cap limits them.
+	TenantCores func(work.TenantID) float64
 
 	wallOffset     time.Duration
 	queues         map[work.QueueID]work.Queue
@@ -52,6 +54,7 @@
 	arrivals          arrivalRate
 	reserve           work.Millicores // capacity that is on its way to the pool or can be lent to it
 	directed          bool            // the fleet controller sends directives, so that reserve is up to date
+	shares            shares
 }
 
 // Bounds are the properties of the platform that the pool relies on.
@@ -95,6 +98,7 @@
 	for _, t := range tenants {
 		p.tenants[t.ID] = t
 	}
+	p.setWeights()
 }
 
 // addUnknownQueue stores the configuration of a queue that SetQueues has not set.
@@ -118,9 +122,10 @@
 	demand := p.demand(queue, spec)
 	first := p.arrivals.add(now, id, demand)
 	demand.Elapsed = now.Sub(first)
-	decision := admit.Decide(p.load(now), demand)
+	load := p.load(now, spec.Tenant, demand)
+	decision := admit.Decide(load, demand)
 	if !decision.Admit {
-		p.emit(Event{Kind: EventRefused, Job: id, Queue: queue.ID, Detail: decision.Reason, Delay: decision.RetryAfter})
+		p.emit(refusedEvent(id, queue.ID, spec.Tenant, load, decision))
 		return SubmitResult{Refused: true, RetryAfter: decision.RetryAfter}
 	}
 	j := newJob(id, queue.ID, spec, p.wallTime(first), p.tasksPerSegment())
@@ -128,7 +133,7 @@
 	j.firstWrite = p.nextWrite
 	p.markDirty(j)
 	p.replan = true
-	p.emit(Event{Kind: EventAccepted, Job: id, Queue: queue.ID, Delay: decision.Wait})
+	p.emit(Event{Kind: EventAccepted, Job: id, Queue: queue.ID, Tenant: spec.Tenant, Delay: decision.Wait})
 	return SubmitResult{Write: j.firstWrite}
 }
 
@@ -267,6 +272,7 @@
 	p.jobs[j.id] = j
 	if !j.finished() {
 		p.active = append(p.active, j)
+		j.share = p.shareOf(j.tenant)
 		j.createDueOccurrences(p.wallTime(now))
 	}
 }
--- a/internal/jobs/steps_test.go
+++ b/internal/jobs/steps_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/toucanhatch/toucanhatch/internal/admit"
 	"github.com/toucanhatch/toucanhatch/internal/work"
 	"github.com/toucanhatch/toucanhatch/pkg/ident"
 )
@@ -308,7 +309,7 @@
 	h.submit(work.Step{Count: 1, Need: work.Resources{CPU: 8000, Memory: 100}, Service: true})
 	shrunk := h.planAndCarryOut()[0].Target
 	h.pool.Register(h.now, work.Registration{ID: shrunk, Pool: "pool", Incarnation: 1000, Capacity: work.Resources{CPU: 4000, Memory: 65536}})
-	if got, want := h.pool.load(h.now).Capacity, 16.0; got != want {
+	if got, want := h.pool.load(h.now, "", admit.Demand{}).Capacity, 16.0; got != want {
 		t.Errorf("capacity %v cores beside service tasks, want the %v of the other target", got, want)
 	}
 }
--- a/internal/jobs/tick.go
+++ b/internal/jobs/tick.go
@@ -230,18 +230,21 @@
 // fleet controller may have changed as well.
 const takeoverGrace = 2500 * time.Millisecond
 
-// load returns the backlog and the capacity of the pool, for the decision whether to admit a job.
-func (p *Pool) load(now time.Time) admit.Load {
+// load returns the backlog and the capacity of the pool, for the decision whether to admit a job of a tenant.
+func (p *Pool) load(now time.Time, tenant work.TenantID, d admit.Demand) admit.Load {
 	l := admit.Load{
 		Jobs: len(p.active), Capacity: p.usableCores(), Reserve: float64(p.reserve) / 1000,
 		CapacityUnknown: !p.directed || now.Sub(p.OwnedSince) < takeoverGrace,
 	}
+	byTenant := p.newTenantLoad(tenant, d)
 	for _, j := range p.active {
 		if !j.spec.HasServiceStep() {
 			_, total := p.remaining(j)
 			l.Backlog += total
+			byTenant.add(j, total)
 		}
 	}
+	l.Tenant = byTenant.result()
 	return l
 }
 
