jobd: the log and the metrics tell which limit refused a tenant's job

Cause: a refused line had a text and no tenant.

Change: refused lines have the tenant, the limit (pool, share, cap, jobs), the tenant's backlog and its share; accepted and completed lines the tenant. tenant_jobs counts jobs by tenant and outcome under at most 32 names and other.

--- a/internal/jobd/metrics.go
+++ b/internal/jobd/metrics.go
@@ -69,6 +69,7 @@
 
 func countEvent(e jobs.Event) {
 	events.Add(string(e.Kind), 1)
+	countTenantJob(&e)
 	if e.Kind != jobs.EventCompleted || e.Objective == 0 {
 		return
 	}
--- a/internal/jobd/shards.go
+++ b/internal/jobd/shards.go
@@ -96,6 +96,15 @@
 	if e.Objective != 0 {
 		args = append(args, "objective", e.Objective)
 	}
+	if e.Tenant != "" {
+		args = append(args, "tenant", e.Tenant)
+	}
+	if e.Limit != "" {
+		args = append(args, "limit", e.Limit)
+	}
+	if e.Share > 0 || e.Backlog > 0 {
+		args = append(args, "backlog", e.Backlog, "share", e.Share)
+	}
 	d.Logger.Info(string(e.Kind), args...)
 }
 
--- a/internal/jobs/bench_test.go
+++ b/internal/jobs/bench_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/toucanhatch/toucanhatch/internal/admit"
 	"github.com/toucanhatch/toucanhatch/internal/work"
 )
 
@@ -73,3 +74,25 @@
 	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(n), "heap_bytes/job")
 	runtime.KeepAlive(next)
 }
+
+// BenchmarkSubmitLoad measures what admission adds up for each submission, with 4,000 jobs in the pool.
+func BenchmarkSubmitLoad(b *testing.B) {
+	for _, tenants := range []int{0, 120} {
+		b.Run(fmt.Sprintf("tenants=%d", tenants), func(b *testing.B) {
+			p, now := newLoadedPool(b, 10, 0)
+			var configured []work.Tenant
+			for i := range tenants {
+				configured = append(configured, work.Tenant{ID: tenantName(i), Weight: zipfWeight(i)})
+			}
+			p.SetTenants(configured)
+			for i := range 4000 {
+				spec := work.Spec{Tenant: tenantName(i % 120), Steps: []work.Step{smallStep, smallStep}}
+				p.Restore(now, &Record{ID: work.JobID(fmt.Sprintf("%016x", i)), Queue: testQueue, Pool: "pool", Accepted: now, Spec: spec})
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				p.load(now, tenantName(0), admit.Demand{CPUTime: time.Second})
+			}
+		})
+	}
+}
