admit: a tenant's only job needs no more than its wait within the share

Cause: of a tenant with a small weight, one job may be more than its share for the time in which it is of use, so that it was refused for as long as others had a backlog.

Change: the work before the job counts by the share, the job's own by all cores.

--- a/internal/admit/admit.go
+++ b/internal/admit/admit.go
@@ -99,7 +99,9 @@
 	if l.Tenant == nil || l.Tenant.Share <= 0 {
 		return refuse("behind the backlog, the job would complete too late", LimitPool, wait, excess)
 	}
-	wait, excess = d.excess(l.Tenant.Ahead, l.Tenant.Share*capacity)
+	// The job itself may use all cores: of a tenant with a small weight, one job may be more than its share.
+	wait = saturate(float64(l.Tenant.Ahead) / (l.Tenant.Share * capacity))
+	excess = d.lateness(wait, capacity)
 	if excess <= 0 {
 		return Decision{Admit: true, Wait: wait}
 	}
@@ -109,8 +111,13 @@
 // excess returns how long the job waits behind a backlog on the given cores, and by how much it would complete too late.
 func (d *Demand) excess(backlog time.Duration, cores float64) (wait, excess time.Duration) {
 	wait = saturate(float64(backlog) / cores)
+	return wait, d.lateness(wait, cores)
+}
+
+// lateness returns by how much the job would complete too late on the given cores if it has to wait.
+func (d *Demand) lateness(wait time.Duration, cores float64) time.Duration {
 	ownTime := max(d.LongestChain, saturate(float64(d.CPUTime)/cores))
-	return wait, d.Elapsed + wait + ownTime - maxLateness*d.Objective
+	return d.Elapsed + wait + ownTime - maxLateness*d.Objective
 }
 
 // saturate converts nanoseconds to a duration of at most a day: a share may be so small that the time exceeds the range of
