shard: a write is overdue by the pace of the log, not by a fixed time

Cause: submissions behind a write without a response for 300 ms were refused at once. A log that answers in 284 ms a call makes every write look overdue, so that each write withdrew all new jobs.

Change: package delay learns the duration of the last writes. A write is overdue after three times the longest of them, at least 300 ms and at most 1 s. A line in the log says when the pace changes. The fleet controller logs the phases of rounds that take 300 ms or longer.

--- a/internal/ctrl/controller.go
+++ b/internal/ctrl/controller.go
@@ -120,12 +120,17 @@
 
 // round reads the state of the VMs and pools, decides, and sends commands.
 func (c *Controller) round(ctx context.Context) error {
+	var times roundTimes
+	times.start(c.Clock.Now())
+	defer func() { c.logSlowRound(&times) }()
 	waves := c.Pools.Waves() // before the VMs are listed: a VM that is missing from a later list has gone
 	vms, err := c.listVMs(ctx)
+	times.add(phaseList, c.Clock.Now())
 	if err != nil {
 		return err
 	}
 	pools := c.collectReports(ctx, vms)
+	times.add(phaseReports, c.Clock.Now())
 	c.reports = pools
 	now := c.Clock.Now()
 	c.forgetCompleted(now, vms)
@@ -136,7 +141,10 @@
 	if err := c.execute(ctx, commands); err != nil {
 		return err
 	}
-	return c.publishWaves(ctx, waves, vms)
+	times.add(phaseCommands, c.Clock.Now())
+	err = c.publishWaves(ctx, waves, vms)
+	times.add(phaseWaves, c.Clock.Now())
+	return err
 }
 
 // execute stores the intents of commands and then sends the commands.
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -9,6 +9,7 @@
 
 	"github.com/toucanhatch/toucanhatch/internal/agent"
 	"github.com/toucanhatch/toucanhatch/internal/clock"
+	"github.com/toucanhatch/toucanhatch/internal/delay"
 	"github.com/toucanhatch/toucanhatch/internal/jobs"
 	"github.com/toucanhatch/toucanhatch/internal/lookup"
 	"github.com/toucanhatch/toucanhatch/internal/panics"
@@ -40,8 +41,10 @@
 	tickPeriod = 100 * time.Millisecond
 	// mailboxSize is large enough for agents to post events while the owner plans.
 	mailboxSize = 256
-	// maxWriteDelay is how long a write may have no response before new submissions are refused at once.
-	maxWriteDelay = 300 * time.Millisecond
+	// minWriteLimit and maxWriteLimit bound how long a write may have no response before new submissions are refused at
+	// once. A submission waits for the write in flight and for its own, and its caller for 3 s.
+	minWriteLimit = 300 * time.Millisecond
+	maxWriteLimit = time.Second
 	// expirePeriod is the time between two searches for finished jobs that can be removed.
 	expirePeriod = 5 * time.Second
 	// answerValidity is how long after the last confirmation of the ownership a job may be refused, or the state of a pool
@@ -113,6 +116,7 @@
 	ctx                  context.Context
 	stop                 context.CancelFunc
 	pools                map[ident.PoolID]*pool
+	writes               delay.Tracker       // of the durations of writes
 	inFlight             *write              // set while no other write may start: also for refusedPause after a refusal
 	proofWaiters         []chan error        // requests that wait for a write that proves the ownership
 	seq                  int64               // of the last append
@@ -164,6 +168,9 @@
 	s.ctx, s.stop = context.WithCancel(ctx)
 	s.mailbox = make(chan event, mailboxSize)
 	s.ready, s.done = make(chan struct{}), make(chan struct{})
+	s.writes = delay.Tracker{Min: minWriteLimit, Max: maxWriteLimit, Changed: func(state delay.State, limit time.Duration) {
+		s.Logger.Info("the pace of the log has changed", "partition", s.Partition, "state", string(state), "limit", limit)
+	}}
 	s.pools, s.undecoded = map[ident.PoolID]*pool{}, map[work.JobID]bool{}
 }
 
--- a/internal/shard/shard_test.go
+++ b/internal/shard/shard_test.go
@@ -358,3 +358,32 @@
 		t.Errorf("submit: %v", err)
 	}
 }
+
+// Guards against a log that answers slowly and is taken for one that doesn't answer: every submission behind a write would be
+// refused. Load: each append takes longer than minWriteLimit, and submissions arrive meanwhile.
+func TestSubmissionsWaitForSlowLog(t *testing.T) {
+	const appendTime = minWriteLimit + 50*time.Millisecond
+	log := &fakes.Log{}
+	s := startShard(t, log, 1)
+	log.BeforeCall = func(call string, _ plog.TopicPartition) (bool, error) {
+		if call == "append" {
+			time.Sleep(appendTime)
+		}
+		return true, nil
+	}
+	if err := s.Submit(t.Context(), testQueue, "0000000000000001", testSpec); err != nil {
+		t.Fatalf("first submission: %v", err)
+	}
+	results := make(chan error, 2)
+	for i := range 2 { // the second one waits behind the write of the first
+		go func() {
+			results <- s.Submit(t.Context(), testQueue, work.JobID(fmt.Sprintf("%016x", i+2)), testSpec)
+		}()
+		time.Sleep(appendTime / 4)
+	}
+	for range 2 {
+		if err := <-results; err != nil {
+			t.Errorf("submission behind a slow write: %v, want it stored", err)
+		}
+	}
+}
--- a/internal/shard/write.go
+++ b/internal/shard/write.go
@@ -179,6 +179,9 @@
 
 // writeDone handles the result of a write.
 func (s *Shard) writeDone(now time.Time, w *write, err error) {
+	if err == nil {
+		s.writes.Observe(now.Sub(w.startedAt))
+	}
 	switch {
 	case err == nil && len(w.invalid) > 0:
 		s.inFlight = nil
@@ -242,9 +245,9 @@
 	}
 }
 
-// writeOverdue reports whether the write in flight has had no response for maxWriteDelay.
+// writeOverdue reports whether the write in flight has had no response for longer than the pace of the log explains.
 func (s *Shard) writeOverdue(now time.Time) bool {
-	return s.inFlight != nil && now.Sub(s.inFlight.startedAt) > maxWriteDelay
+	return s.inFlight != nil && s.writes.Overdue(now.Sub(s.inFlight.startedAt))
 }
 
 // refuseQueued withdraws the jobs that wait for the write after the one in flight, if that is overdue. Nothing of them has left this process, so their clients may try again at once.
