--- a/internal/netopt/netopt_other.go
+++ b/internal/netopt/netopt_other.go
@@ -15,3 +15,6 @@
 
 // Reusable returns true, since it can't check a connection here. The next use of a closed connection fails.
 func Reusable(net.Conn) bool { return true }
+
+// MaxFiles returns 0: the limit on open descriptors isn't known here.
+func MaxFiles() int { return 0 }
