jobd, platform, link: bound bodies, connections and frames

Cause: a body had no time limit and no bound across requests; connections to no listener were bounded, and bodies that weren't read kept the connections of readiness, metrics and peers open.

Change: the four listeners are guarded. Settings: limits.

--- a/internal/jobd/daemon.go
+++ b/internal/jobd/daemon.go
@@ -4,8 +4,6 @@
 	"cmp"
 	"context"
 	"errors"
-	"io"
-	"log"
 	"net"
 	"net/http"
 	"os"
@@ -19,6 +17,7 @@
 	"github.com/toucanhatch/toucanhatch/internal/agent"
 	"github.com/toucanhatch/toucanhatch/internal/clock"
 	"github.com/toucanhatch/toucanhatch/internal/group"
+	"github.com/toucanhatch/toucanhatch/internal/guard"
 	"github.com/toucanhatch/toucanhatch/internal/link"
 	"github.com/toucanhatch/toucanhatch/internal/lookup"
 	"github.com/toucanhatch/toucanhatch/internal/maint"
@@ -60,10 +59,6 @@
 	drainTime = 2500 * time.Millisecond
 	// exitMargin is the part of the stop grace that is left for the exit of the process.
 	exitMargin = 700 * time.Millisecond
-	// clientIdleTimeout closes idle connections of clients.
-	clientIdleTimeout = 30 * time.Second
-	headerTimeout     = 3 * time.Second
-	maxHeaderBytes    = 16 << 10
 	// gcPercent lets the heap grow threefold between garbage collections. At the default value they
 	// take a fifth of the processor time of a large pool's owner.
 	gcPercent = 200
@@ -110,9 +105,9 @@
 	defer stopAll()
 	d.ctx = runCtx
 	var wg sync.WaitGroup
-	clientServer := d.newHTTPServer(d.Platform.NewClientHandler(d.service))
-	readinessServer := d.newHTTPServer(http.HandlerFunc(d.serveReadiness))
-	peerServer := &link.Server{Listener: peerListener, Handler: d.service.HandlePeerRequest, Logger: d.Logger}
+	clientServer := d.service.Guard.Server(d.Platform.NewClientHandler(d.service))
+	readinessServer := d.service.Guard.ShortServer(http.HandlerFunc(d.serveReadiness))
+	peerServer := &link.Server{Listener: peerListener, Handler: d.service.HandlePeerRequest, Guard: d.service.Guard, Logger: d.Logger}
 	failed := make(chan error, 3)
 	wg.Go(func() { failed <- peerServer.Run(runCtx) })
 	wg.Go(func() { failed <- serve(clientServer, clientListener) })
@@ -197,6 +192,7 @@
 	}
 	d.member.Init()
 	d.service = &Service{Partitions: s.Log.Partitions, MaxRecord: cmp.Or(s.Log.MaxRecord, defaultMaxRecord), PeerAddress: s.PeerAddress, Zone: s.Zone, Member: d.member, Owners: d.owners, PeerClient: peerClient, Clock: d.Clock, Logger: d.Logger}
+	d.service.Guard = guard.New(guard.Derive(s.Limits, s.Memory), d.Logger)
 	d.service.Config = &configuration{
 		Platform: p, ApplyWithin: s.Bounds.configApply(), SetWave: d.service.setWave, SomePeers: d.owners.SomePeers, PeerClient: peerClient,
 		Clock: d.Clock, Logger: d.Logger,
@@ -212,21 +208,16 @@
 	for _, l := range []struct {
 		to   *net.Listener
 		addr string
-	}{{&client, d.Settings.ClientAddress}, {&ready, d.Settings.ReadinessAddress}, {&peer, d.Settings.PeerAddress}} {
+		kind guard.Kind
+	}{{&client, d.Settings.ClientAddress, guard.Clients}, {&ready, d.Settings.ReadinessAddress, guard.Readiness}, {&peer, d.Settings.PeerAddress, guard.Peers}} {
 		if *l.to, err = link.Listen(ctx, l.addr); err != nil {
 			return nil, nil, nil, err
 		}
+		*l.to = d.service.Guard.Listen(l.kind, *l.to)
 	}
 	return client, ready, peer, nil
 }
 
-func (d *Daemon) newHTTPServer(h http.Handler) *http.Server {
-	return &http.Server{
-		Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: clientIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ErrorLog: log.New(io.Discard, "", 0), // not logged: mostly connections that clients broke
-	}
-}
-
 func serve(s *http.Server, l net.Listener) error {
 	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 		return err
@@ -281,7 +272,8 @@
 		d.Logger.Error("cannot listen for metrics requests", "error", err)
 		return
 	}
-	srv := d.newHTTPServer(metricsHandler())
+	l = d.service.Guard.Listen(guard.Metrics, l)
+	srv := d.service.Guard.ShortServer(metricsHandler())
 	stop := context.AfterFunc(ctx, func() { _ = srv.Close() })
 	defer stop()
 	if err := serve(srv, l); err != nil {
--- a/internal/jobd/service.go
+++ b/internal/jobd/service.go
@@ -13,6 +13,7 @@
 	"github.com/toucanhatch/toucanhatch/internal/admit"
 	"github.com/toucanhatch/toucanhatch/internal/clock"
 	"github.com/toucanhatch/toucanhatch/internal/group"
+	"github.com/toucanhatch/toucanhatch/internal/guard"
 	"github.com/toucanhatch/toucanhatch/internal/jobs"
 	"github.com/toucanhatch/toucanhatch/internal/link"
 	"github.com/toucanhatch/toucanhatch/internal/plog"
@@ -58,6 +59,7 @@
 	Member      *group.Member
 	Owners      *ownerTable
 	Config      *configuration
+	Guard       *guard.Guard // bounds what clients and other processes send
 	PeerClient  *link.Client
 	Clock       clock.Clock
 	Logger      hclog.Logger
--- a/internal/jobd/settings.go
+++ b/internal/jobd/settings.go
@@ -35,6 +35,7 @@
 	StopGrace     config.Duration `toml:"grace"` // time between SIGTERM and SIGKILL
 	LogLevel      string          `toml:"log_level"`
 	Bounds        BoundSettings   `toml:"bounds"`
+	Limits        config.Limits   `toml:"limits"`
 }
 
 // LogSettings describe the platform's log.
@@ -157,6 +158,9 @@
 	if s.Bounds.ConfigApply.Duration < 0 || s.Bounds.Drain.Duration < 0 {
 		addError("bounds.config_apply = %v, bounds.drain = %v: neither may be negative", s.Bounds.ConfigApply, s.Bounds.Drain)
 	}
+	if err := s.Limits.Check(); err != nil {
+		errs = append(errs, err)
+	}
 	switch s.LogLevel {
 	case "trace", "debug", "info", "warn", "error":
 	default:
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"log"
 	"net"
 	"net/http"
 	"sync"
@@ -15,6 +14,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/hashicorp/go-hclog"
 
+	"github.com/toucanhatch/toucanhatch/internal/guard"
 	"github.com/toucanhatch/toucanhatch/internal/netopt"
 	"github.com/toucanhatch/toucanhatch/internal/panics"
 	"github.com/toucanhatch/toucanhatch/internal/stall"
@@ -104,6 +104,7 @@
 type Server struct {
 	Listener net.Listener
 	Handler  Handler
+	Guard    *guard.Guard // bounds what arrives, if set; the listener is one of its own
 	Logger   hclog.Logger
 }
 
@@ -116,21 +117,19 @@
 
 // Run serves until ctx is done.
 func (s *Server) Run(ctx context.Context) error {
-	srv := &http.Server{
-		ReadHeaderTimeout: headerTimeout, ErrorLog: log.New(io.Discard, "", 0), // the dialing side reports failed handshakes
-		BaseContext: func(net.Listener) context.Context { return ctx },
-		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			if r.URL.Path != endpointPath {
-				http.NotFound(w, r)
-				return
-			}
-			ws, err := websocket.Accept(w, r, &websocket.AcceptOptions{CompressionMode: websocket.CompressionDisabled})
-			if err != nil {
-				return // Accept has written the response
-			}
-			s.serve(ctx, ws)
-		}),
-	}
+	srv := s.Guard.ShortServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != endpointPath {
+			http.NotFound(w, r)
+			return
+		}
+		ws, err := websocket.Accept(w, r, &websocket.AcceptOptions{CompressionMode: websocket.CompressionDisabled})
+		if err != nil {
+			return // Accept has written the response
+		}
+		s.serve(ctx, ws, s.Guard.Stream(r))
+	}))
+	srv.ReadHeaderTimeout = headerTimeout
+	srv.BaseContext = func(net.Listener) context.Context { return ctx }
 	stop := context.AfterFunc(ctx, func() { _ = srv.Close() })
 	defer stop()
 	err := srv.Serve(s.Listener)
@@ -140,23 +139,25 @@
 	return err
 }
 
-func (s *Server) serve(ctx context.Context, ws *websocket.Conn) {
+func (s *Server) serve(ctx context.Context, ws *websocket.Conn, stream guard.Stream) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer func() { _ = ws.CloseNow() }()
 	ws.SetReadLimit(maxFrame)
 	for {
-		f, err := readFrame(ctx, ws, nil)
+		f, received, err := readGuardedFrame(ctx, ws, stream)
 		if err != nil {
 			return
 		}
 		if f.ID == 0 {
+			received.Release()
 			if writeFrame(ctx, ws, frame{}) != nil {
 				return
 			}
 			continue
 		}
 		go func() {
+			defer received.Release()
 			var body []byte
 			err := errHandlerPanicked
 			panics.Catch(s.Logger, "request "+string(f.Method), func() { body, err = s.Handler(ctx, f.Method, f.Body) })
@@ -171,6 +172,26 @@
 	}
 }
 
+// readGuardedFrame reads a frame within the limits of a stream. The bytes of the frame are to be released if there is no error.
+func readGuardedFrame(ctx context.Context, ws *websocket.Conn, stream guard.Stream) (frame, *guard.Frame, error) {
+	var f frame
+	_, r, err := ws.Reader(ctx)
+	if err != nil {
+		return f, nil, err
+	}
+	received := stream.Frame(r)
+	data, err := io.ReadAll(received)
+	if err == nil {
+		received.End()
+		err = cbor.Unmarshal(data, &f)
+	}
+	if err != nil {
+		received.Release()
+		return f, nil, err
+	}
+	return f, received, nil
+}
+
 // readFrame reads a frame. Each time that bytes of it have arrived, it calls received, if that is not nil, with their number
 // and that of all bytes of the frame so far.
 func readFrame(ctx context.Context, ws *websocket.Conn, received func(n, total int)) (frame, error) {
