entry, peer, daemon: bound what toucand takes in

Change: the listeners are guarded, bodies are read within the budget, a quarter of the new setting memory (256 MB if it isn't set). Above it 503 with Retry-After and the outcome not-run. A peer link stays once the other side has proved that it knows the key. Settings: memory, limits.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -35,6 +35,9 @@
 	KeyMemory ident.Bytes `toml:"key_memory"`
 	// LogRetention is how long the platform keeps records; four checkpoints are written in that time. Default 24h.
 	LogRetention Duration `toml:"log_retention"`
+	// Memory is the memory of the VM in bytes; 0 if it is not known.
+	Memory ident.Bytes `toml:"memory"`
+	Limits Limits      `toml:"limits"`
 }
 
 // DefaultLogRetention is the log retention if the settings do not set it.
@@ -136,6 +139,12 @@
 	if s.KeyMemory <= 0 {
 		errs = append(errs, fmt.Errorf("key_memory = %d is not positive", s.KeyMemory))
 	}
+	if s.Memory < 0 {
+		errs = append(errs, fmt.Errorf("memory = %d is negative", s.Memory))
+	}
+	if err := s.Limits.Check(); err != nil {
+		errs = append(errs, err)
+	}
 	switch s.LogLevel {
 	case "trace", "debug", "info", "warn", "error":
 	default:
--- a/internal/daemon/admin.go
+++ b/internal/daemon/admin.go
@@ -8,7 +8,11 @@
 	"time"
 )
 
-const adminHeaderTimeout = 5 * time.Second
+const (
+	adminHeaderTimeout = 5 * time.Second
+	// adminWriteTimeout lets an operator on a slow link read the status of a large fleet.
+	adminWriteTimeout = 30 * time.Second
+)
 
 func (d *Daemon) adminHandler() http.Handler {
 	mux := http.NewServeMux()
@@ -36,7 +40,8 @@
 
 // serveAdmin serves health, metrics and status until runCtx is done.
 func (d *Daemon) serveAdmin(runCtx context.Context) error {
-	srv := &http.Server{Handler: d.adminHandler(), ReadHeaderTimeout: adminHeaderTimeout}
+	srv := d.guard.ShortServer(d.adminHandler())
+	srv.ReadHeaderTimeout, srv.WriteTimeout = adminHeaderTimeout, adminWriteTimeout
 	defer func() { _ = srv.Close() }()
 	failed := make(chan error, 1)
 	go func() { failed <- srv.Serve(d.adminListener) }()
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net"
@@ -14,6 +15,8 @@
 	"github.com/toucanhatch/toucanhatch/internal/config"
 	"github.com/toucanhatch/toucanhatch/internal/entry"
 	"github.com/toucanhatch/toucanhatch/internal/follow"
+	"github.com/toucanhatch/toucanhatch/internal/guard"
+	"github.com/toucanhatch/toucanhatch/internal/intake"
 	"github.com/toucanhatch/toucanhatch/internal/keys"
 	"github.com/toucanhatch/toucanhatch/internal/peer"
 	"github.com/toucanhatch/toucanhatch/internal/target"
@@ -34,6 +37,7 @@
 	follower       *follow.Follower
 	peers          *peer.Node
 	keys           *keys.Service
+	guard          *guard.Guard
 	handler        *entry.Handler
 	broker         *brokerService
 	burn           *burnRecorder
@@ -47,7 +51,8 @@
 // Listen opens the listeners, so that their addresses are known before Run.
 func (d *Daemon) Listen() error {
 	var err error
-	if d.callerListener, err = entry.Listen(d.Settings.CallerAddress); err != nil {
+	d.guard = newGuard(d.Settings, d.Logger)
+	if d.callerListener, err = entry.Listen(d.Settings.CallerAddress, d.guard); err != nil {
 		return fmt.Errorf("caller listener: %w", err)
 	}
 	if d.peerListener, err = net.Listen("tcp", d.Settings.PeerAddress); err != nil {
@@ -56,12 +61,25 @@
 	if d.WrapPeerListener != nil {
 		d.peerListener = d.WrapPeerListener(d.peerListener)
 	}
+	d.peerListener = d.guard.Listen(guard.Peers, d.peerListener)
 	if d.adminListener, err = net.Listen("tcp", d.Settings.AdminAddress); err != nil {
 		return fmt.Errorf("admin listener: %w", err)
 	}
+	d.adminListener = d.guard.Listen(guard.Metrics, d.adminListener)
 	return nil
 }
 
+// bodyShare is the part of the memory for bodies. A body may have 8 MiB, so that several have room on a small VM.
+const bodyShare = 4
+
+func newGuard(s *config.Settings, logger hclog.Logger) *guard.Guard {
+	limits := s.Limits
+	if limits.Bodies == 0 {
+		limits.Bodies = cmp.Or(s.Memory, intake.DefaultMemory) / bodyShare
+	}
+	return guard.New(guard.Derive(limits, s.Memory), logger)
+}
+
 // CallerAddr returns the address that callers use, after Listen.
 func (d *Daemon) CallerAddr() string { return d.callerListener.Addr().String() }
 
@@ -97,7 +115,7 @@
 	d.burn = &burnRecorder{meter: burn.NewMeter(d.Clock), state: d.follower, next: newRequestMetrics(d.Settings.Entry)}
 	d.handler = &entry.Handler{
 		State: d.follower, Permits: d.broker, Claims: d.keys, Targets: client,
-		Recorder: d.burn, Clock: d.Clock, Logger: d.Logger.Named("entry"),
+		Recorder: d.burn, Clock: d.Clock, Guard: d.guard, Logger: d.Logger.Named("entry"),
 	}
 	d.Logger.Info("serving", "caller", d.CallerAddr(), "peer", d.peerListener.Addr().String(), "admin", d.AdminAddr())
 	// All components that callers' requests need run until the last request has finished, also after ctx is done.
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -19,6 +19,7 @@
 	n := peer.NewNode(d.Settings.Entry, d.Settings.Zone, d.Clock)
 	n.Key = d.Settings.PeerKey
 	n.Listener = d.peerListener
+	n.Guard = d.guard
 	n.Seeds = d.Settings.Seeds
 	n.List = (&plat.Lister{Client: &plat.Client{BaseURL: d.Settings.PlatformURL}, Kind: plat.KindEntry}).List
 	n.Logger = d.Logger.Named("peer")
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"crypto/rand"
 	"encoding/hex"
@@ -14,6 +15,7 @@
 
 	"github.com/toucanhatch/toucanhatch/internal/broker"
 	"github.com/toucanhatch/toucanhatch/internal/clock"
+	"github.com/toucanhatch/toucanhatch/internal/guard"
 	"github.com/toucanhatch/toucanhatch/internal/keys"
 	"github.com/toucanhatch/toucanhatch/internal/target"
 	"github.com/toucanhatch/toucanhatch/pkg/ident"
@@ -48,8 +50,9 @@
 	Recorder Recorder    // nil: outcomes are not recorded
 	Clock    clock.Clock // the system clock when nil
 	Logger   hclog.Logger
+	Guard    *guard.Guard // bounds the bodies; the server's listener is one of its own
 
-	bodyTime   time.Duration // bodyTimeout when 0
+	bodyTime   time.Duration // that of the guard when 0
 	chunkTime  time.Duration // chunkTimeout when 0
 	routeTable atomic.Pointer[routeTable]
 	retries    retryBudget
@@ -63,7 +66,9 @@
 	if h.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	x := &exchange{h: h, w: w, r: r, began: h.now(), outcome: NotRun}
+	x := &exchange{h: h, w: w, r: r, received: h.Guard.Body(w, r, 0), began: h.now(), outcome: NotRun}
+	x.received.Timeout = cmp.Or(h.bodyTime, h.Guard.BodyTime())
+	defer x.received.Release()
 	if f := x.readRequest(); f != nil {
 		x.refuse(f)
 	} else {
@@ -104,10 +109,11 @@
 
 // exchange is the state of one caller's request.
 type exchange struct {
-	h     *Handler
-	w     http.ResponseWriter
-	r     *http.Request
-	began time.Time
+	h        *Handler
+	w        http.ResponseWriter
+	r        *http.Request
+	received *guard.Body
+	began    time.Time
 
 	pool       ident.PoolID
 	id         ident.RequestID
@@ -128,7 +134,6 @@
 
 // readRequest routes the request and reads its header and body. It returns a refusal if the request is invalid.
 func (x *exchange) readRequest() *refusal {
-	x.limitBody()
 	var ok bool
 	if x.pool, ok = x.h.route(x.r.URL.Path); !ok {
 		return &refusal{status: http.StatusNotFound, text: fmt.Sprintf("no pool serves path %q", x.r.URL.Path)}
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -17,7 +17,9 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/toucanhatch/toucanhatch/internal/broker"
+	"github.com/toucanhatch/toucanhatch/internal/config"
 	"github.com/toucanhatch/toucanhatch/internal/fold"
+	"github.com/toucanhatch/toucanhatch/internal/guard"
 	"github.com/toucanhatch/toucanhatch/internal/keys"
 	"github.com/toucanhatch/toucanhatch/internal/target"
 	"github.com/toucanhatch/toucanhatch/pkg/fleet"
@@ -104,8 +106,8 @@
 	}
 	c := target.New()
 	t.Cleanup(c.Close)
-	r := &testEntry{permits: p, h: &Handler{State: testState{state}, Permits: p, Targets: c, Logger: hclog.NewNullLogger()}}
-	l, err := Listen("127.0.0.1:0")
+	r := &testEntry{permits: p, h: &Handler{State: testState{state}, Permits: p, Targets: c, Guard: guard.New(guard.Derive(config.Limits{}, 0), hclog.NewNullLogger()), Logger: hclog.NewNullLogger()}}
+	l, err := Listen("127.0.0.1:0", r.h.Guard)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/entry/refusal.go
+++ b/internal/entry/refusal.go
@@ -37,6 +37,7 @@
 		seconds := int(math.Ceil(f.retryAfter.Seconds()))
 		x.w.Header().Set("Retry-After", strconv.Itoa(seconds))
 	}
+	x.received.Finish(x.w.Header())
 	x.status = f.status
 	x.w.Header().Set(OutcomeHeader, string(x.outcome))
 	http.Error(x.w, text, f.status)
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -14,6 +14,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"github.com/toucanhatch/toucanhatch/internal/guard"
 	"github.com/toucanhatch/toucanhatch/internal/netopt"
 	"github.com/toucanhatch/toucanhatch/pkg/ident"
 )
@@ -21,8 +22,8 @@
 const (
 	headerTimeout = 5 * time.Second
 	idleTimeout   = 75 * time.Second
-	// writeTimeout bounds the time from the end of the request header to the end of the response.
-	writeTimeout = bodyTimeout + longestRequest + 15*time.Second
+	// writeTimeout bounds the time from the end of the request to the end of the response.
+	writeTimeout = longestRequest + 15*time.Second
 	maxHeader    = int(32 * ident.KiB)
 	// callerUserTimeout (TCP_USER_TIMEOUT) bounds how long sent bytes may stay unacknowledged.
 	callerUserTimeout = 10 * time.Second
@@ -34,14 +35,15 @@
 		Handler:                      h,
 		ReadHeaderTimeout:            headerTimeout,
 		IdleTimeout:                  idleTimeout,
-		WriteTimeout:                 writeTimeout,
+		WriteTimeout:                 h.Guard.BodyTime() + writeTimeout,
 		MaxHeaderBytes:               maxHeader,
 		DisableGeneralOptionsHandler: true,
 		ErrorLog:                     h.Logger.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
-			return context.WithValue(ctx, callerConnKey{}, c)
+			return context.WithValue(guard.ConnContext(ctx, c), callerConnKey{}, c)
 		},
 		ConnState: func(c net.Conn, s http.ConnState) {
+			guard.NoteState(c, s)
 			if cc, ok := c.(*callerConn); ok && s == http.StateIdle {
 				cc.inHandler.Store(false)
 				cc.requestStarted.Store(false)
@@ -50,13 +52,13 @@
 	}
 }
 
-// Listen opens the listener for callers.
-func Listen(addr string) (net.Listener, error) {
+// Listen opens the listener for callers, within the limits of a guard.
+func Listen(addr string, g *guard.Guard) (net.Listener, error) {
 	l, err := net.Listen("tcp", addr)
 	if err != nil {
 		return nil, err
 	}
-	return &callerListener{Listener: l}, nil
+	return &callerListener{Listener: g.Listen(guard.Clients, l, fmt.Sprintf("%s: %s\r\n", OutcomeHeader, NotRun))}, nil
 }
 
 // setUserTimeout sets the option on accepted connections, since a multipath TCP listener refuses it.
@@ -138,6 +140,9 @@
 	return len(p), nil
 }
 
+// NetConn returns the connection that c wraps.
+func (c *callerConn) NetConn() net.Conn { return c.Conn }
+
 // CloseWrite closes the write side, which lets the server end a connection without losing its last response.
 func (c *callerConn) CloseWrite() error {
 	if t, ok := c.Conn.(interface{ CloseWrite() error }); ok {
--- a/internal/peer/handshake.go
+++ b/internal/peer/handshake.go
@@ -139,6 +139,7 @@
 		n.detach(s)
 		return
 	}
+	n.Guard.Stream(r).Trusted()
 	n.serve(s)
 }
 
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
-	"log"
 	"net"
 	"net/http"
 	"slices"
@@ -15,6 +13,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/toucanhatch/toucanhatch/internal/clock"
+	"github.com/toucanhatch/toucanhatch/internal/guard"
 	"github.com/toucanhatch/toucanhatch/internal/wire"
 	"github.com/toucanhatch/toucanhatch/pkg/ident"
 	"github.com/toucanhatch/toucanhatch/pkg/plat"
@@ -40,6 +39,8 @@
 	List   func(context.Context) ([]plat.ListedVM, error)
 	Clock  clock.Clock
 	Logger hclog.Logger
+	// Guard bounds what arrives, if set; Listener is one of its own.
+	Guard *guard.Guard
 
 	ctx          context.Context // the context of Run
 	client       *http.Client
@@ -140,10 +141,9 @@
 	}
 	mux := http.NewServeMux()
 	mux.Handle(peerPath, n)
-	srv := &http.Server{
-		Handler: mux, ReadHeaderTimeout: headerTimeout, ErrorLog: log.New(io.Discard, "", 0), // do not log the errors of port scans
-		BaseContext: func(net.Listener) context.Context { return ctx },
-	}
+	srv := n.Guard.ShortServer(mux)
+	srv.ReadHeaderTimeout = headerTimeout
+	srv.BaseContext = func(net.Listener) context.Context { return ctx }
 	var wg sync.WaitGroup
 	for _, f := range []func(){n.deliverSelf, n.notifyViews, n.pollList} {
 		wg.Go(f)
