intake: test that small bodies displace large ones

Cause: with the rule off, TestSmallBodiesGoFirst still passed: what is kept for small bodies was enough.

--- a/internal/intake/budget_test.go
+++ b/internal/intake/budget_test.go
@@ -60,6 +60,11 @@
 	for range 100 {
 		newBody(b).Grow(100<<10, start)
 	}
+	for i := range 100 { // these use up what is kept for small bodies, and the place of a large one
+		if !newBody(b).Grow(4<<10, start) {
+			t.Fatalf("small body %d, beside others, was refused", i)
+		}
+	}
 	for i := range 1000 {
 		x := newBody(b)
 		if !x.Grow(4<<10, start) {
