place: reservations of targets for large tasks that fit none

Cause: small tasks fill each gap as it opens, so that a large task waits until a target is emptied by chance.

Nothing uses it yet.

--- a/internal/place/doc.go
+++ b/internal/place/doc.go
@@ -7,4 +7,7 @@
 // of the others can be lent to other pools. Best-effort tasks, which take only CPU
 // time that other tasks leave unused, go where they disturb the fewest
 // latency-sensitive tasks.
+//
+// A [Book] looks ahead: it reserves targets for large tasks that fit none now, where enough is expected to end soonest, and
+// says which other tasks may use the gap. Times and expected ends are passed in; it does no I/O.
 package place
