jobs: reserve targets for large waiting tasks if Bounds.LookAhead is set

Cause: planning looked at what is free now, not at what waits and what will end soon.

Change: a task counts as large if no target has room, the pool as a whole has, and it needs more than 1.5 times what a run holds on average. Where its job can be in time, targets are reserved by the expected ends of their runs: the reported progress, or the estimate times the learned ratio with an even spread of 0.9. Kept out: late and expired jobs, tasks on trial, steps without tickets. The state is in memory only. A line and a count for each reservation that is made, kept, dropped or not needed; beyond 20 lines a second they are only counted.

--- a/internal/jobs/bench_test.go
+++ b/internal/jobs/bench_test.go
@@ -45,6 +45,45 @@
 	}
 }
 
+// BenchmarkPlanLookAhead measures a round of planning in which large tasks wait that fit no target, with and without
+// reservations.
+func BenchmarkPlanLookAhead(b *testing.B) {
+	for _, size := range [][2]int{{80, 100}, {80, 800}, {131, 300}} {
+		for _, lookAhead := range []bool{false, true} {
+			b.Run(fmt.Sprintf("targets=%d/jobs=%d/look_ahead=%v", size[0], size[1], lookAhead), func(b *testing.B) {
+				p, now := newLoadedPool(b, size[0], size[1])
+				p.Bounds.LookAhead = lookAhead
+				for i := range 20 {
+					id := work.JobID(fmt.Sprintf("%015xf", i))
+					p.Restore(now, &Record{ID: id, Queue: work.Queue{ID: "large", Pool: "pool", MaxAttempts: 2, SlackFactor: 2.2, Objective: time.Hour}, Pool: "pool", Accepted: now, Spec: work.Spec{Payload: "p", Steps: []work.Step{
+						{Count: 8, Need: work.Resources{CPU: 10000, Memory: 12000}, Estimate: 1700 * time.Millisecond},
+					}}})
+				}
+				for _, t := range p.targets { // two thirds of the runs are expected to end within 250 ms
+					for i, r := range t.orderedRuns {
+						r.startedAt = now.Add(-1500 * time.Millisecond)
+						if i%3 == 0 {
+							r.startedAt = now
+						}
+					}
+				}
+				b.ReportAllocs()
+				round := 0
+				for b.Loop() {
+					if round++; lookAhead && round%5 == 0 { // targets are chosen in each fifth round: one takes 10 ms, choicePause is 50 ms
+						p.ahead = newLookAhead(defaultPolicy)
+					}
+					p.replan = true
+					p.Plan(now)
+				}
+				if lookAhead {
+					b.ReportMetric(float64(p.ahead.book.Len()), "reserved")
+				}
+			})
+		}
+	}
+}
+
 // BenchmarkTakeover measures the time to decode and restore one job's record, and the memory that the job occupies.
 func BenchmarkTakeover(b *testing.B) {
 	p, now := newLoadedPool(b, 80, 100)
--- a/internal/jobs/candidates.go
+++ b/internal/jobs/candidates.go
@@ -115,12 +115,17 @@
 	}
 }
 
-// best returns the index of the best candidate for a task, or -1 if there is none.
-func (cs *candidateSet) best(spec *work.Step, t *task, advice *stepAdvice, zone ident.ZoneID) int {
-	want := place.Task{
+// wanted returns the properties of a task that determine its place.
+func (cs *candidateSet) wanted(spec *work.Step, t *task, zone ident.ZoneID) place.Task {
+	return place.Task{
 		Need: reservation(spec), Label: spec.Label, Rack: spec.DataRack, MaxPerTarget: spec.MaxPerTarget,
 		Service: spec.Service, BestEffort: spec.BestEffort, LatencySensitive: spec.LatencyObjective > 0, Avoid: t.avoidTarget, Zone: zone,
 	}
+}
+
+// best returns the index of the best candidate for a task, or -1 if there is none.
+func (cs *candidateSet) best(spec *work.Step, t *task, advice *stepAdvice, zone ident.ZoneID) int {
+	want := cs.wanted(spec, t, zone)
 	if advice.unrestricted {
 		if k := cs.bestInZone(want); k >= 0 {
 			return k
--- a/internal/jobs/event.go
+++ b/internal/jobs/event.go
@@ -28,7 +28,13 @@
 	EventCheckpointIgnored EventKind = "checkpoint_ignored" // a checkpoint is too long to be stored
 	EventTrialUnanswered   EventKind = "trial_unanswered"   // a target that was to be used for the trial of a task doesn't answer
 	EventCommonLoss        EventKind = "common_loss"        // targets of a rack or zone were lost together, so that their tasks aren't blamed
-	EventCrash             EventKind = "crash"              // a target has crashed shortly after it had started a task
+	// The reservations for large tasks.
+	EventReserved            EventKind = "reserved"             // a target is reserved for a waiting task
+	EventReservationKept     EventKind = "reservation_kept"     // the task starts on the target
+	EventReservationDropped  EventKind = "reservation_dropped"  // the target was not free in time or can't be used
+	EventReservationUnneeded EventKind = "reservation_unneeded" // the task has started elsewhere, or doesn't wait for a target any more
+
+	EventCrash EventKind = "crash" // a target has crashed shortly after it had started a task
 )
 
 // Event is one decision, with the facts that it is based on.
@@ -41,6 +47,8 @@
 	Target  work.TargetID
 	Detail  string
 	Delay   time.Duration // accepted: expected wait; refused: when to retry; completed: time since the first submission
+	// CountOnly means that the event is counted in the metrics and not logged.
+	CountOnly bool
 	// Objective is the time within which a completed job should have been completed; 0 if unknown.
 	Objective time.Duration
 }
--- a/internal/jobs/job.go
+++ b/internal/jobs/job.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/toucanhatch/toucanhatch/internal/blame"
+	"github.com/toucanhatch/toucanhatch/internal/rank"
 	"github.com/toucanhatch/toucanhatch/internal/work"
 	"github.com/toucanhatch/toucanhatch/pkg/ident"
 )
@@ -31,6 +32,7 @@
 	unsettledRuns   int           // see run.unsettled
 	stripped        bool          // its tasks and specification have been dropped
 	zone            ident.ZoneID  // preferred zone of its tasks
+	class           rank.Class    // in the last round of planning in which it had a runnable task
 	longestChain    time.Duration // run time of the longest chain of dependent steps in one occurrence, by the client's estimates
 	cpuTime         time.Duration // CPU time of one occurrence, by the client's estimates
 }
--- a/internal/jobs/plan.go
+++ b/internal/jobs/plan.go
@@ -25,6 +25,9 @@
 	if len(candidates.list) == 0 {
 		return
 	}
+	if p.Bounds.LookAhead {
+		p.beginLookAhead(now, candidates)
+	}
 	for _, j := range p.rankedJobs(now) {
 		p.planJob(now, j, candidates)
 		p.emitPlanned(j)
@@ -48,6 +51,7 @@
 	var out []*job
 	for _, position := range rank.Sort(views, p.usableCores()) {
 		if j := p.active[position.Index]; j.hasRunnable() {
+			j.class = position.Class
 			out = append(out, j)
 		}
 	}
@@ -160,15 +164,24 @@
 			if st.waiting == 0 || st.pendingDeps > 0 {
 				continue
 			}
-			if j.spec.Steps[s].Gang {
-				p.planGang(now, j, o, s, cs)
+			if p.Bounds.LookAhead {
+				p.planStepAhead(now, j, o, s, cs)
 			} else {
-				p.planStep(now, j, o, s, cs)
+				p.planTasks(now, j, o, s, cs)
 			}
 		}
 	}
 }
 
+// planTasks plans runs of the waiting tasks of a step.
+func (p *Pool) planTasks(now time.Time, j *job, o *occurrence, s int, cs *candidateSet) {
+	if j.spec.Steps[s].Gang {
+		p.planGang(now, j, o, s, cs)
+	} else {
+		p.planStep(now, j, o, s, cs)
+	}
+}
+
 // planStep plans runs of the waiting tasks of a step, as far as they fit.
 func (p *Pool) planStep(now time.Time, j *job, o *occurrence, s int, cs *candidateSet) {
 	spec, st := &j.spec.Steps[s], &o.steps[s]
--- a/internal/jobs/pool.go
+++ b/internal/jobs/pool.go
@@ -51,6 +51,7 @@
 	extendable        []work.TargetID // since the last call of TakeExtendable
 	arrivals          arrivalRate
 	reserve           work.Millicores // capacity that is on its way to the pool or can be lent to it
+	ahead             *lookAhead      // nil until the first round of planning with reservations
 	directed          bool            // the fleet controller sends directives, so that reserve is up to date
 }
 
@@ -61,6 +62,7 @@
 	InheritedLease time.Duration // time from a takeover until all leases given by the previous owner have expired
 	MaxLease       time.Duration // longest lease that the owner gives
 	Retention      time.Duration // how long a finished job remains visible
+	LookAhead      bool          // targets are reserved for large waiting tasks
 	MaxRecord      ident.Bytes   // limit of the log on the size of a record, at least [MinRecord]; 0 if there is none
 }
 
--- a/internal/jobs/sim_test.go
+++ b/internal/jobs/sim_test.go
@@ -55,6 +55,7 @@
 }
 
 type simulation struct {
+	lookAhead bool // targets are reserved for large tasks
 	faultOptions
 	t            *rapid.T
 	now          time.Time
@@ -106,6 +107,7 @@
 		withdrawn: map[work.JobID]bool{}, listedDown: map[work.TargetID]int64{}, failuresLeft: map[work.TaskID]int{},
 		crashesUnder: map[work.TaskID]int{},
 	}
+	s.lookAhead = seed&2 != 0
 	state := seed | 1
 	s.rand = func(n int) int { // xorshift, which gives the same sequence for the same seed
 		state ^= state << 13
@@ -138,7 +140,7 @@
 	}
 	p := NewPool("pool")
 	p.Fence = s.fence
-	p.Bounds = Bounds{StopTimeout: simStopTime, RemoteCost: 1, Retention: time.Hour, InheritedLease: simInheritedLease, MaxLease: simLease + simLease/25}
+	p.Bounds = Bounds{StopTimeout: simStopTime, RemoteCost: 1, Retention: time.Hour, InheritedLease: simInheritedLease, MaxLease: simLease + simLease/25, LookAhead: s.lookAhead}
 	p.segmentTasks = s.segmentTasks
 	p.SetQueues([]work.Queue{{ID: "q", Pool: "pool", MaxAttempts: 3, SlackFactor: 2, Objective: time.Minute}})
 	fence := s.fence
