jobd: setting placement.look_ahead

Cause: reservations for large tasks need a switch.

Change: [placement] look_ahead, default false, passed to the pools with the bounds and reloaded like them; the metric reservation_gained_ms; events beyond the bound of lines are counted and not logged.

Measured: go test ./internal/jobd passes.

--- a/internal/jobd/metrics.go
+++ b/internal/jobd/metrics.go
@@ -15,11 +15,12 @@
 
 // The metrics of docs/metrics.md. Daemons that run in the same process share them.
 var (
-	events            = expvar.NewMap("events")       // by kind
-	requests          = expvar.NewMap("requests")     // by method and outcome
-	logCalls          = expvar.NewMap("log_calls")    // by call and outcome
-	jobsInTime        = expvar.NewMap("jobs_in_time") // by queue
-	jobsLate          = expvar.NewMap("jobs_late")    // by queue
+	events            = expvar.NewMap("events")                // by kind
+	requests          = expvar.NewMap("requests")              // by method and outcome
+	logCalls          = expvar.NewMap("log_calls")             // by call and outcome
+	jobsInTime        = expvar.NewMap("jobs_in_time")          // by queue
+	reservationGained = expvar.NewInt("reservation_gained_ms") // waiting time that reservations have saved large tasks, estimated
+	jobsLate          = expvar.NewMap("jobs_late")             // by queue
 	configVersion     = expvar.NewInt("config_version")
 	configAge         = expvar.NewInt("config_unconfirmed_ms") // since the configuration was known to be the newest
 	configTransfers   = expvar.NewMap("config_transfers")      // by source and outcome
@@ -69,6 +70,9 @@
 
 func countEvent(e jobs.Event) {
 	events.Add(string(e.Kind), 1)
+	if e.Kind == jobs.EventReservationKept {
+		reservationGained.Add(e.Delay.Milliseconds())
+	}
 	if e.Kind != jobs.EventCompleted || e.Objective == 0 {
 		return
 	}
--- a/internal/jobd/reload.go
+++ b/internal/jobd/reload.go
@@ -39,7 +39,7 @@
 	}
 }
 
-// reload reads the settings file. Its bounds apply to owners that start from now on; changed addresses take effect only
+// reload reads the settings file. Its bounds and placement apply to owners that start from now on; changed addresses take effect only
 // after a restart. An invalid file changes nothing.
 func (d *Daemon) reload() {
 	s, err := LoadSettings(d.SettingsPath)
@@ -49,5 +49,5 @@
 	}
 	old := d.activeSettings.Swap(s)
 	addressesChanged := s.ClientAddress != old.ClientAddress || s.PeerAddress != old.PeerAddress || s.ReadinessAddress != old.ReadinessAddress || s.Log.Address != old.Log.Address
-	d.Logger.Info("settings reloaded", "bounds_changed", s.Bounds != old.Bounds, "addresses_changed", addressesChanged, "addresses_need_restart", addressesChanged)
+	d.Logger.Info("settings reloaded", "bounds_changed", s.Bounds != old.Bounds || s.Placement != old.Placement, "addresses_changed", addressesChanged, "addresses_need_restart", addressesChanged)
 }
--- a/internal/jobd/settings.go
+++ b/internal/jobd/settings.go
@@ -27,14 +27,15 @@
 	// VMServiceAddress is the address of the platform's VM service, which moves VMs and takes them down; empty if there is none.
 	VMServiceAddress string `toml:"machines"`
 	// AdviceAddress is the address of the service that says which targets may run a step; empty if there is none.
-	AdviceAddress string          `toml:"advice"`
-	ControlMode   string          `toml:"control_mode"` // how targets receive commands; only "invoke" is supported
-	Memory        ident.Bytes     `toml:"memory"`       // memory limit of the VM; 0 sets no limit
-	CPUShare      float64         `toml:"cpu_share"`    // usable part of each core; 0 if it is not known
-	Cores         float64         `toml:"cores"`
-	StopGrace     config.Duration `toml:"grace"` // time between SIGTERM and SIGKILL
-	LogLevel      string          `toml:"log_level"`
-	Bounds        BoundSettings   `toml:"bounds"`
+	AdviceAddress string            `toml:"advice"`
+	ControlMode   string            `toml:"control_mode"` // how targets receive commands; only "invoke" is supported
+	Memory        ident.Bytes       `toml:"memory"`       // memory limit of the VM; 0 sets no limit
+	CPUShare      float64           `toml:"cpu_share"`    // usable part of each core; 0 if it is not known
+	Cores         float64           `toml:"cores"`
+	StopGrace     config.Duration   `toml:"grace"` // time between SIGTERM and SIGKILL
+	LogLevel      string            `toml:"log_level"`
+	Bounds        BoundSettings     `toml:"bounds"`
+	Placement     PlacementSettings `toml:"placement"`
 }
 
 // LogSettings describe the platform's log.
@@ -57,6 +58,11 @@
 	Drain           config.Duration `toml:"drain"`         // a target that announces its leave gets no new task after this time; 0 is 2 s
 }
 
+// PlacementSettings choose how targets are chosen for tasks.
+type PlacementSettings struct {
+	LookAhead bool `toml:"look_ahead"` // targets are reserved for large tasks that wait
+}
+
 // SettingsEnv is the environment variable with the path of the settings file.
 const SettingsEnv = "TOUCANHATCH_SETTINGS"
 
@@ -180,5 +186,6 @@
 	b := &s.Bounds
 	return jobs.Bounds{
 		StopTimeout: b.StopTimeout.Duration, RemoteCost: b.RemoteCost, Retention: b.Retention.Duration, MaxRecord: s.Log.MaxRecord,
+		LookAhead: s.Placement.LookAhead,
 	}
 }
--- a/internal/jobd/settings_test.go
+++ b/internal/jobd/settings_test.go
@@ -61,3 +61,23 @@
 		}
 	}
 }
+
+// Guards against a setting that is read and doesn't reach the pools, or that is on where nobody has set it.
+func TestLookAheadReachesPools(t *testing.T) {
+	for _, test := range []struct {
+		text string
+		want bool
+	}{
+		{validSettings, false},
+		{validSettings + "[placement]\nlook_ahead = false\n", false},
+		{validSettings + "[placement]\nlook_ahead = true\n", true},
+	} {
+		s, err := loadText(t, test.text)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got := s.bounds().LookAhead; got != test.want {
+			t.Errorf("look-ahead of the pools is %v, want %v with the settings\n%s", got, test.want, test.text)
+		}
+	}
+}
--- a/internal/jobd/shards.go
+++ b/internal/jobd/shards.go
@@ -74,6 +74,9 @@
 
 func (d *Daemon) logEvent(e jobs.Event) {
 	countEvent(e)
+	if e.CountOnly {
+		return
+	}
 	var args []any
 	if e.Job != "" {
 		args = append(args, "job", e.Job)
