--- a/internal/jobs/lookahead.go
+++ b/internal/jobs/lookahead.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/toucanhatch/toucanhatch/internal/place"
@@ -68,7 +69,7 @@
 	}
 	n := max(runs, 1)
 	a.typical = work.Resources{CPU: held.CPU / work.Millicores(n), Memory: held.Memory / work.Mebibytes(n)}
-	p.endReservations(now, a.book.Release(awaitsTarget))
+	p.endReservations(now, a.book.Release(p.awaitsTarget))
 	p.endReservations(now, a.book.Begin(now, cs.list, func(id work.TargetID) int {
 		if t := p.targets[id]; t != nil && t.trial == nil {
 			return t.candidate
@@ -78,7 +79,9 @@
 }
 
 // awaitsTarget reports whether a step still has a waiting task.
-func awaitsTarget(ref stepRef) bool { return !ref.job.finished() && ref.step.waiting > 0 }
+func (p *Pool) awaitsTarget(ref stepRef) bool {
+	return ref.step.waiting > 0 && !ref.job.finished() && p.jobs[ref.job.id] == ref.job // a withdrawn job is unknown
+}
 
 // runEnds returns the runs of a target that are expected to end within a time.
 func (p *Pool) runEnds(now time.Time, t *target, within time.Duration) []place.RunEnd {
@@ -100,7 +103,7 @@
 // target reports its progress is expected to go on at that pace.
 func (p *Pool) remainingTime(now time.Time, t *target, r *run) time.Duration {
 	if r.state == runStopping {
-		return p.Bounds.StopTimeout
+		return max(0, p.Bounds.StopTimeout-now.Sub(r.stopSentAt))
 	}
 	if r.spec.Service || r.job == nil || r.spec.Estimate <= 0 {
 		return place.Never
@@ -142,7 +145,9 @@
 		p.endReservations(now, book.Trim(key, p.readyTasks(now, j, spec, st)))
 	}
 	if book.Len() > 0 && reservation(spec).Fits(cs.maxFree) && p.readyTasks(now, j, spec, st) > 0 {
-		book.Refused(key, place.Task{Need: reservation(spec), Label: spec.Label}, p.expectedTime(j.queue, spec))
+		if advice := p.presentAdvice(now, stepKey{j.id, o.number, s}, j); advice != nil {
+			book.Refused(key, cs.wanted(spec, firstWaiting(st), ""), p.expectedTime(j.queue, spec), advice.allows)
+		}
 	}
 	if st.waiting > 0 {
 		p.reserveAhead(now, j, o, s, cs, key)
@@ -198,7 +203,7 @@
 func (p *Pool) reserveAhead(now time.Time, j *job, o *occurrence, s int, cs *candidateSet, key stepRef) {
 	spec, st, a := &j.spec.Steps[s], &o.steps[s], p.ahead
 	need := reservation(spec)
-	if j.class > rank.ClassOnTime || now.Before(a.nextChoice) || !a.isLarge(need) || !need.Fits(a.free) || !spec.Gang && need.Fits(cs.maxFree) {
+	if j.class > rank.ClassOnTime || now.Before(a.nextChoice) || !a.isLarge(need) || !need.Fits(a.free) {
 		return
 	}
 	n := p.readyTasks(now, j, spec, st) - a.book.Reserved(key)
@@ -206,13 +211,13 @@
 	if n <= 0 || advice == nil || spec.Gang && a.book.Reserved(key) > 0 {
 		return
 	}
-	a.nextChoice = now.Add(choicePause)
 	cs.setSameStep(st)
-	request := place.Request[stepRef]{
-		Holder: key, Count: n, Gang: spec.Gang, SameRack: spec.SameRack,
-		Task:    cs.wanted(spec, firstWaiting(st), cs.homeZone(j, spec)),
-		Allowed: func(id work.TargetID) bool { return advice.unrestricted || advice.ticket(id) != "" },
+	want := cs.wanted(spec, firstWaiting(st), cs.homeZone(j, spec))
+	if !spec.Gang && cs.anyFeasible(want) {
+		return
 	}
+	a.nextChoice = now.Add(choicePause)
+	request := place.Request[stepRef]{Holder: key, Task: want, Count: n, Gang: spec.Gang, SameRack: spec.SameRack, Allowed: advice.allows}
 	for _, r := range a.book.Reserve(request) {
 		p.emitReservation(now, Event{
 			Kind: EventReserved, Job: j.id, Queue: j.queue, Target: r.Target, Delay: r.Due.Sub(now),
@@ -221,6 +226,14 @@
 	}
 }
 
+// anyFeasible reports whether a target has room for a task.
+func (cs *candidateSet) anyFeasible(want place.Task) bool {
+	return want.Need.Fits(cs.maxFree) && slices.ContainsFunc(cs.list, func(c place.Candidate) bool { return place.Feasible(&c, want) })
+}
+
+// allows reports whether the tasks of the step may run on a target.
+func (a *stepAdvice) allows(id work.TargetID) bool { return a.unrestricted || a.ticket(id) != "" }
+
 // isLarge reports whether a task needs clearly more than a run holds on average.
 func (a *lookAhead) isLarge(need work.Resources) bool {
 	return float64(need.CPU) > largeFactor*float64(a.typical.CPU) || float64(need.Memory) > largeFactor*float64(a.typical.Memory)
--- a/internal/jobs/lookahead_test.go
+++ b/internal/jobs/lookahead_test.go
@@ -127,15 +127,28 @@
 		if got := h.reserved(); got != test.want {
 			t.Errorf("%s: %d targets are reserved, want %d", test.name, got, test.want)
 		}
-		if test.want == 0 {
-			continue
-		}
-		if _, known := h.pool.Cancel(h.now, "0000000000000002"); !known {
-			t.Fatal("the job is unknown")
+	}
+}
+
+// Guards against a reservation whose job has ended, and against what it has delayed being kept in memory.
+func TestReservationEndsWithItsJob(t *testing.T) {
+	const id = work.JobID("0000000000000002")
+	for name, end := range map[string]func(*harness){
+		"canceled":  func(h *harness) { h.pool.Cancel(h.now, id) },
+		"withdrawn": func(h *harness) { h.pool.Withdraw(h.now, id) },
+	} {
+		h := newLookAheadHarness(t, true)
+		h.submitTo(id, largeQueue, largeStep)
+		h.pool.replan = true
+		h.pool.Plan(h.now)
+		if got := h.reserved(); got != 1 {
+			t.Fatalf("%s: %d targets are reserved, want 1", name, got)
 		}
-		h.planAndCarryOut()
+		end(h)
+		h.pool.replan = true
+		h.pool.Plan(h.now)
 		if got := h.reserved(); got != 0 {
-			t.Errorf("%s: %d targets are reserved after it was canceled, want none", test.name, got)
+			t.Errorf("%s: %d targets are reserved afterwards, want none", name, got)
 		}
 	}
 }
@@ -223,7 +236,7 @@
 			t.Fatalf("target %s is reserved twice", r.Target)
 		}
 		reserved[r.Target] = r.Holder
-		if !awaitsTarget(r.Holder) {
+		if !p.awaitsTarget(r.Holder) {
 			t.Fatalf("target %s is reserved for a step without waiting tasks", r.Target)
 		}
 	}
--- a/internal/place/ahead.go
+++ b/internal/place/ahead.go
@@ -232,10 +232,10 @@
 	})
 }
 
-// Refused notes that a task was not placed, which would have been placed but for a reservation.
-func (b *Book[K]) Refused(step K, t Task, expected time.Duration) {
+// Refused notes that a task was not placed, if it would have been placed but for a reservation.
+func (b *Book[K]) Refused(step K, t Task, expected time.Duration, allowed func(work.TargetID) bool) {
 	for _, r := range b.list {
-		if r.Holder != step && Feasible(&b.candidates[r.index], t) {
+		if r.Holder != step && allowed(r.Target) && Feasible(&b.candidates[r.index], t) {
 			r.blockedUntil = b.now.Add(expected)
 			if _, refused := b.refusedSince[step]; !refused {
 				if b.refusedSince == nil {
--- a/internal/place/ahead_test.go
+++ b/internal/place/ahead_test.go
@@ -221,7 +221,7 @@
 		}
 		f.begin(0)
 		f.reserve("large", 1, 6000)
-		f.book.Refused("small", Task{Need: need}, time.Second)
+		f.book.Refused("small", Task{Need: need}, time.Second, func(work.TargetID) bool { return true })
 		f.begin(test.refused)
 		if test.reached {
 			f.book.Reach("large")
