jobs: a gang counts as a whole where large tasks get reservations

Cause: a gang of small tasks needs places for all members at once, and got no reservation, since each of them is small.

Change: whether a gang is large, and whether the pool has room for it in all, is decided by what all its members need.

Measured: go test of place, jobs and jobd passes.

--- a/internal/jobs/lookahead.go
+++ b/internal/jobs/lookahead.go
@@ -199,10 +199,13 @@
 }
 
 // reserveAhead reserves targets for the tasks of a step if they are large: the pool has room for one in total, and no target
-// has.
+// has. A gang counts as a whole.
 func (p *Pool) reserveAhead(now time.Time, j *job, o *occurrence, s int, cs *candidateSet, key stepRef) {
 	spec, st, a := &j.spec.Steps[s], &o.steps[s], p.ahead
 	need := reservation(spec)
+	if spec.Gang {
+		need = need.Times(spec.Count)
+	}
 	if j.class > rank.ClassOnTime || now.Before(a.nextChoice) || !a.isLarge(need) || !need.Fits(a.free) {
 		return
 	}
--- a/internal/jobs/lookahead_test.go
+++ b/internal/jobs/lookahead_test.go
@@ -91,7 +91,7 @@
 	}
 }
 
-// Guards against reservations for tasks that must have none: where the setting is off, for small tasks, tasks that can't run
+// Guards against large tasks without a reservation, and against reservations for tasks that must have none: where the setting is off, for small tasks, tasks that can't run
 // even on an empty target, late jobs, tasks on trial, and those that wait after a failure.
 func TestNoReservation(t *testing.T) {
 	for _, test := range []struct {
@@ -105,7 +105,14 @@
 		{name: "switched off", off: true, step: largeStep},
 		{name: "a small task", step: work.Step{Count: 1, Need: work.Resources{CPU: 1200, Memory: 1200}, Estimate: time.Second}},
 		{name: "too large for any target", step: work.Step{Count: 1, Need: work.Resources{CPU: 17000, Memory: 1000}, Estimate: time.Second}},
-		{name: "larger than all that is free", step: work.Step{Count: 1, Need: work.Resources{CPU: 9000, Memory: 1000}, Estimate: time.Second}},
+		{name: "larger than all that is free", step: work.Step{Count: 1, Need: work.Resources{CPU: 4900, Memory: 1000}, Estimate: time.Second}}, // 8 times 0.6 cores
+		{name: "a gang of small tasks", step: work.Step{Count: 4, Gang: true, Need: work.Resources{CPU: 1100, Memory: 1000}, Estimate: time.Second}, want: 1},
+		{name: "a gang larger than all that is free", step: work.Step{Count: 5, Gang: true, Need: work.Resources{CPU: 1100, Memory: 1000}, Estimate: time.Second}},
+		{name: "cores and memory are free on different targets", step: largeStep, want: 1, change: func(h *harness, _ *job) {
+			t0 := h.pool.targets["t0"]
+			t0.Capacity.CPU += 4000
+			t0.reserved.Memory = t0.Capacity.Memory
+		}},
 		{name: "a late job", step: largeStep, change: func(_ *harness, j *job) { j.submitted = j.submitted.Add(-2 * time.Hour) }},
 		{name: "an expired job", step: largeStep, change: func(_ *harness, j *job) { j.submitted = j.submitted.Add(-9 * time.Hour) }},
 		{name: "a task on trial", step: largeStep, change: func(_ *harness, j *job) {
