guard: headers count by their bytes and lines from their arrival on

A header that stopped short counted nowhere, and fields counted by their names only: 200 headers of 19 KB that stop short took 265 KB each (many fields) or 217 KB each (one field many times). At the derived limit of 610 connections of clients, a VM with 160 MB would be out of memory.

The connection now counts what a header has beyond 4 KB, from its arrival until the request has ended, by bytes and lines. A body takes the claim of its header over, so that both are given up together.

--- a/internal/guard/body.go
+++ b/internal/guard/body.go
@@ -30,10 +30,6 @@
 	firstBuffer = 512
 	// firstKnown is the largest first buffer of a body whose length is known.
 	firstKnown = 4 << 10
-	// headerField is the memory that a field of a header takes, which counts for bodies with many of them: a header of legal
-	// size may take 30 times as much memory.
-	headerField = 128
-	usualFields = 32
 	// drainTime is how long the rest of a body that isn't read may delay the end of its connection.
 	drainTime = 500 * time.Millisecond
 )
@@ -57,7 +53,6 @@
 	deadline    func(time.Time) error // sets the deadline of reads
 	from        io.Reader
 	length      int64 // -1 if it isn't known
-	fields      int
 	clientWaits time.Duration
 
 	claim *intake.Claim
@@ -68,7 +63,7 @@
 
 // Body returns the body of a request, whose client waits for the response for some time.
 func (g *Guard) Body(w http.ResponseWriter, r *http.Request, clientWaits time.Duration) *Body {
-	b := &Body{guard: g, kind: Clients, from: r.Body, length: r.ContentLength, fields: len(r.Header), clientWaits: clientWaits}
+	b := &Body{guard: g, kind: Clients, from: r.Body, length: r.ContentLength, clientWaits: clientWaits}
 	b.conn, _ = r.Context().Value(connKey{}).(*conn)
 	if r.Body == nil || r.Body == http.NoBody {
 		b.err = io.EOF
@@ -103,15 +98,16 @@
 func (b *Body) receive(limit int64) {
 	now := time.Now()
 	if b.claim == nil {
-		b.claim = b.guard.bodies.Claim(func() { _ = b.deadline(time.Unix(1, 0)) })
+		if b.conn != nil {
+			b.claim, b.held = b.conn.takeHeader() // a body that is given up gives up its header as well
+		}
+		if b.claim == nil {
+			b.claim = b.guard.bodies.Claim(func() { _ = b.deadline(time.Unix(1, 0)) })
+		}
 		_ = b.deadline(now.Add(cmp.Or(b.Timeout, bodyLimit(b.clientWaits, b.guard.limits.BodyTime, limit)))) // if this fails, the limits of the connection still apply
 		if b.conn != nil {
 			b.conn.entry.Set(intake.Reading, now)
 		}
-		if b.fields > usualFields && !b.grow(int64(b.fields)*headerField, now) {
-			b.end(ErrOverloaded)
-			return
-		}
 	}
 	for int64(len(b.data)) <= limit {
 		if len(b.data) == cap(b.data) {
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -158,10 +158,14 @@
 	}
 	switch s {
 	case http.StateActive:
+		x.headerArrived()
 		x.entry.Set(intake.Busy, time.Now())
 	case http.StateIdle:
+		x.nextHeader()
 		x.entry.Set(intake.Idle, time.Now())
-	case http.StateNew, http.StateHijacked, http.StateClosed:
+	case http.StateHijacked:
+		x.releaseHeader()
+	case http.StateNew, http.StateClosed:
 	}
 }
 
@@ -207,7 +211,7 @@
 		if err != nil {
 			return nil, err
 		}
-		x := &conn{Conn: c, kind: l.kind}
+		x := &conn{Conn: c, guard: l.guard, kind: l.kind}
 		x.entry = l.conns.Open(func() {
 			l.guard.note(connShed, l.kind)
 			_ = c.Close() // the server then closes x
@@ -226,9 +230,11 @@
 // conn is a connection of a guarded listener.
 type conn struct {
 	net.Conn
-	kind  Kind
-	entry *intake.Conn
-	once  sync.Once
+	guard  *Guard
+	kind   Kind
+	entry  *intake.Conn
+	header header
+	once   sync.Once
 }
 
 // Close implements net.Conn.
@@ -237,6 +243,7 @@
 		c.entry.Closed()
 		connections.Add(string(c.kind), -1)
 	})
+	c.releaseHeader()
 	return c.Conn.Close()
 }
 
