jobs: the mean weight is that of the configured tenants alone

Tenants that had been removed went on counting in it until the next takeover, so that two owners of the same configuration gave jobs without a tenant different shares. The sum also went over a map, in an order that differs from run to run, and with it the last bits of the mean.

The mean is now taken over the list of the configuration. Where that is empty, the last mean stays for the jobs that are left.

--- a/internal/jobs/pool.go
+++ b/internal/jobs/pool.go
@@ -100,7 +100,7 @@
 	for _, t := range tenants {
 		p.tenants[t.ID] = t
 	}
-	p.setWeights()
+	p.setWeights(tenants)
 }
 
 // addUnknownQueue stores the configuration of a queue that SetQueues has not set.
--- a/internal/jobs/shares.go
+++ b/internal/jobs/shares.go
@@ -37,13 +37,16 @@
 // hasTenants reports whether the deployment has, or had, tenants.
 func (p *Pool) hasTenants() bool { return len(p.tenants) > 0 }
 
-// setWeights updates the weights after a change of the configuration.
-func (p *Pool) setWeights() {
+// setWeights updates the weights after a change of the configuration, given the tenants that it has. If it has none, the mean
+// stays as it was.
+func (p *Pool) setWeights(configured []work.Tenant) {
 	sum := 0.0
-	for _, t := range p.tenants {
-		sum += t.Weight
+	for i := range configured {
+		sum += configured[i].Weight
+	}
+	if len(configured) > 0 {
+		p.shares.mean = sum / float64(len(configured))
 	}
-	p.shares.mean = sum / float64(max(len(p.tenants), 1))
 	for _, t := range p.shares.tenants {
 		t.weight = p.weight(t.id)
 	}
--- a/internal/jobs/shares_test.go
+++ b/internal/jobs/shares_test.go
@@ -423,6 +423,28 @@
 	}
 }
 
+// Guards against removed tenants that go on counting in the mean weight, so that two owners of the same configuration decide
+// differently, and against jobs without a share once all tenants are removed.
+func TestRemovedTenantsDontCountInMeanWeight(t *testing.T) {
+	h := newHarness(t, 1)
+	for _, test := range []struct {
+		tenants []work.Tenant
+		want    float64
+	}{
+		{[]work.Tenant{{ID: "a", Weight: 2}, {ID: "b", Weight: 10}}, 6},
+		{[]work.Tenant{{ID: "a", Weight: 2}}, 2},
+		{nil, 2},
+	} {
+		h.pool.SetTenants(test.tenants)
+		if got := h.pool.weight(""); got != test.want {
+			t.Errorf("tenants %v: jobs without a tenant have the weight %v, want %v", test.tenants, got, test.want)
+		}
+		if got := h.pool.weight("b"); got != 10 {
+			t.Errorf("tenants %v: the weight of b is %v, want its last one, 10", test.tenants, got)
+		}
+	}
+}
+
 // Guards against a refusal whose cause can't be told from the log.
 func TestRefusedEventNamesLimit(t *testing.T) {
 	h := newHarness(t, 1)
