guard: the end of shedding is logged once, and only after the quiet time

The timer of the quiet time may fire while an event is noted, which then sets it anew: the end was logged although load was being shed, and once more with zeros.

noteQuiet now looks at the time of the last event. TestSheddingEndsOnce: the line came at once and three times before.

--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -77,6 +77,7 @@
 	mu       sync.Mutex
 	counts   map[event]int // since shedding began
 	quietEnd *time.Timer   // nil while nothing is shed
+	lastNote time.Time     // of the last event
 }
 
 // New returns a guard with limits, all of which must be set.
@@ -92,6 +93,7 @@
 	shed.Add(string(e)+"."+string(kind), 1)
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.lastNote = time.Now()
 	if g.quietEnd != nil {
 		g.counts[e]++
 		g.quietEnd.Reset(g.quiet)
@@ -103,8 +105,13 @@
 		"limit_clients", g.limits.Clients, "limit_peers", g.limits.Peers, "limit_others", g.limits.Others)
 }
 
+// noteQuiet logs that shedding has ended. The timer may fire while an event is noted, and then fires again.
 func (g *Guard) noteQuiet() {
 	g.mu.Lock()
+	if g.quietEnd == nil || time.Since(g.lastNote) < g.quiet {
+		g.mu.Unlock()
+		return
+	}
 	counts := g.counts
 	g.counts, g.quietEnd = nil, nil
 	g.mu.Unlock()
--- a/internal/guard/guard_test.go
+++ b/internal/guard/guard_test.go
@@ -93,6 +93,25 @@
 	}
 }
 
+// Guards against a line that says shedding has ended while it goes on: the timer of the quiet time fires while something is
+// refused, or fires twice.
+func TestSheddingEndsOnce(t *testing.T) {
+	var out lockedBuffer
+	g := New(testLimits(), hclog.New(&hclog.LoggerOptions{Output: &out, JSONFormat: true}))
+	g.quiet = time.Minute
+	g.note(connRefused, Clients)
+	g.noteQuiet()
+	if text := out.String(); strings.Contains(text, "has ended") {
+		t.Errorf("log: %s\nwant no line that shedding has ended before it has been quiet for %v", text, g.quiet)
+	}
+	g.quiet = 0
+	g.noteQuiet()
+	g.noteQuiet()
+	if text := out.String(); strings.Count(text, "has ended") != 1 {
+		t.Errorf("log: %s\nwant one line that shedding has ended", text)
+	}
+}
+
 // Guards against limits on the time of a body that cut clients within their own deadline, or let others stay for days.
 func TestBodyLimit(t *testing.T) {
 	const base = 10 * time.Second
