toucanctl: config check

Cause: operators had no way to check a configuration before publishing.

Errors alone mean that the daemons would not put the file in force, so that warnings can be added later. Ruled out: reading the version in force from the log, which would need the log's address and a link to it.

--- a/internal/opcli/main.go
+++ b/internal/opcli/main.go
@@ -24,7 +24,7 @@
 )
 
 const exitCodes = `
-Exit codes: 0 done; 1 failed; 2 invalid arguments or invalid file; 3 check or publish: conflict;
+Exit codes: 0 done; 1 failed; 2 invalid arguments or a file with faults; 3 check or publish: conflict;
 4 publish: rejected; 5 publish: not yet known; 6 status: not reached yet; 7 status: at risk.`
 
 // Main runs toucanctl and returns its exit code.
@@ -37,7 +37,7 @@
 		EnableShellCompletion: true,
 		ExitErrHandler:        func(context.Context, *cli.Command, error) {},
 		Commands: []*cli.Command{
-			devCommand(), showCommand(), checkCommand(), diffCommand(), publishCommand(), statusCommand(), reportCommand(),
+			devCommand(), showCommand(), checkCommand(), diffCommand(), publishCommand(), statusCommand(), reportCommand(), configCommand(),
 			checkpointCommand(), benchCommand(),
 		},
 	}
