--- /dev/null
+++ b/internal/admit/cap.go
@@ -0,0 +1,23 @@
+package admit
+
+import "time"
+
+// CapTimes is for how long tasks need the whole of their tenant's cap, by resource.
+type CapTimes struct{ CPU, Memory, GPU time.Duration }
+
+func (t CapTimes) longest() time.Duration { return max(t.CPU, t.Memory, t.GPU) }
+
+// DecideByCap refuses a job that is otherwise admitted if it would complete too late behind the backlog of its own tenant,
+// by the tenant's cap alone.
+func DecideByCap(backlog, own CapTimes, d Demand, admitted Decision) Decision {
+	if d.Service || d.Scheduled {
+		return admitted
+	}
+	wait := backlog.longest()
+	all := CapTimes{backlog.CPU + own.CPU, backlog.Memory + own.Memory, backlog.GPU + own.GPU}
+	if excess := d.Elapsed + max(wait+d.LongestChain, all.longest()) - maxLateness*d.Objective; excess > 0 {
+		return Decision{Reason: "behind the backlog of its tenant's cap, the job would complete too late", Wait: wait, RetryAfter: min(max(excess, minRetry), maxRetry)}
+	}
+	admitted.Wait = max(admitted.Wait, wait)
+	return admitted
+}
--- a/internal/jobd/service.go
+++ b/internal/jobd/service.go
@@ -136,6 +136,8 @@
 		return link.TypedHandler(func(context.Context, struct{}) (clockReading, error) {
 			return clockReading{Now: s.Clock.Now().UnixNano()}, nil
 		})(ctx, body)
+	case methodCaps:
+		return link.TypedHandler(s.handleCaps)(ctx, body)
 	case methodRejoin:
 		s.Member.JoinNow()
 		s.Owners.RequestRefresh()
--- a/internal/jobd/shards.go
+++ b/internal/jobd/shards.go
@@ -21,13 +21,14 @@
 	s := &shard.Shard{
 		Partition: p.Partition, Partitions: d.Settings.Log.Partitions, Epoch: epoch, Log: d.Platform.Log, Targets: shardTargets{d}, MaxAppend: d.Settings.Log.MaxAppend, Adviser: d.Platform.Adviser,
 		Bounds: d.activeSettings.Load().bounds(), Clock: d.Clock, Logger: d.Logger, Events: d.logEvent,
-		Queues: d.queues, Tenants: d.tenants, WallOffset: d.service.wallClock.Offset, LastConfirmed: d.member.ConfirmedAt,
+		Queues: d.queues, Tenants: d.tenants, Caps: d.caps, RecordCaps: recordCaps(p.Partition), WallOffset: d.service.wallClock.Offset, LastConfirmed: d.member.ConfirmedAt,
 		RecordWrite:    func(took time.Duration) { writeLatencies.Record(latencyKeyAll, took) },
 		RecordTakeover: func(took time.Duration) { takeoverLatencies.Record(latencyKeyAll, took) },
 	}
 	s.Init(d.ctx)
 	d.targetWatcher.Wake()
 	go s.Run()
+	go d.runAllocators(s, epoch)
 	if p.Partition == fleetPartition && d.Platform.Cloud != nil {
 		go d.runFleetController(s, epoch)
 	}
--- /dev/null
+++ b/internal/jobs/caps.go
@@ -0,0 +1,480 @@
+package jobs
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/toucanhatch/toucanhatch/internal/admit"
+	"github.com/toucanhatch/toucanhatch/internal/quota"
+	"github.com/toucanhatch/toucanhatch/internal/work"
+	"github.com/toucanhatch/toucanhatch/pkg/ident"
+)
+
+// The tasks of a tenant with a cap hold at most the tenant's limit in the pool, which its allocator grants. What they hold is
+// the full need of all runs that are not known to have ended. Nothing here is done for jobs without a tenant.
+
+const (
+	// usageValidity is how long a computed usage is reported: several allocators ask in turn.
+	usageValidity = 30 * time.Millisecond
+	// heldBackDelay is how long a tenant must be held back, or not be, until that is reported. Allocators take about 0.3 s
+	// to follow a shift of the demand.
+	heldBackDelay = 500 * time.Millisecond
+	// maxPlacements bounds the searches for room on all targets for one tenant.
+	maxPlacements = 16
+)
+
+// capState is what the pool knows of caps.
+type capState struct {
+	version  int64 // of the configuration
+	views    map[work.TenantID]quota.View
+	limits   map[work.TenantID]quota.Limit
+	held     map[work.TenantID]work.Resources
+	usage    map[work.TenantID]*quota.Usage // of the tenants that a cap limits and that wait
+	usageAt  time.Time
+	heldBack map[work.TenantID]*heldBack
+}
+
+// heldBack says since when the cap of a tenant holds back tasks, or since when it doesn't any more.
+type heldBack struct {
+	since    time.Time
+	now      bool // a task was held back in the last computed usage
+	reported bool
+}
+
+// capRecord is the stored cap of a job's tenant, for an owner whose configuration has the tenant no longer.
+type capRecord struct {
+	_       struct{} `cbor:",toarray"`
+	Cap     work.Resources
+	Version int64 // of the configuration that set it
+}
+
+// SetCaps sets the caps of the tenants of a version of the configuration. A tenant that is missing keeps its last cap.
+func (p *Pool) SetCaps(version int64, tenants []work.Tenant) {
+	if version == p.caps.version {
+		return
+	}
+	p.caps.version = version
+	for i := range tenants {
+		p.replan = true
+		t := &tenants[i]
+		p.setView(t.ID, quota.View{Configured: true, Known: true, Cap: t.Cap, Version: version})
+	}
+}
+
+func (p *Pool) setView(id work.TenantID, v quota.View) {
+	if p.caps.views == nil {
+		p.caps.views = map[work.TenantID]quota.View{}
+	}
+	p.caps.views[id] = v
+}
+
+// CapVersion returns the version of the configuration whose caps the pool obeys.
+func (p *Pool) CapVersion() int64 { return p.caps.version }
+
+// SetLimits sets what the tenants may hold here. The pool doesn't change the map.
+func (p *Pool) SetLimits(limits map[work.TenantID]quota.Limit) {
+	p.caps.limits, p.caps.usageAt, p.replan = limits, time.Time{}, true
+}
+
+// capOf returns the cap and the limit by which the tasks of a tenant are planned. No resource is limited if the cap is zero.
+func (p *Pool) capOf(id work.TenantID) (work.Resources, quota.Limit) {
+	return p.caps.views[id].Effective(p.caps.limits[id])
+}
+
+// hold counts n times the need of a run as held by its tenant.
+func (p *Pool) hold(r *run, n int) {
+	if r.job == nil || r.job.tenant == "" {
+		return
+	}
+	if p.caps.held == nil {
+		p.caps.held = map[work.TenantID]work.Resources{}
+	}
+	held := p.caps.held[r.job.tenant].Plus(r.spec.Need.Times(n))
+	if held == (work.Resources{}) {
+		delete(p.caps.held, r.job.tenant)
+		return
+	}
+	p.caps.held[r.job.tenant] = held
+}
+
+// exceedsCap reports whether n tasks of a step that start together would exceed what the job's tenant may hold here.
+func (p *Pool) exceedsCap(j *job, spec *work.Step, n int) bool {
+	if j.tenant == "" {
+		return false
+	}
+	c, limit := p.capOf(j.tenant)
+	return quota.Limits(c) && !limit.Allows(p.caps.held[j.tenant], spec.Need.Times(n), spec.Need, c)
+}
+
+// capRooms holds how much of its limit each tenant has left, while the tasks that could start are counted.
+type capRooms map[work.TenantID]work.Resources
+
+// startable returns how many of the waiting tasks of a step the cap of the job's tenant leaves, beside those counted before.
+func (p *Pool) startable(rooms capRooms, j *job, spec *work.Step, waiting int) int {
+	if j.tenant == "" || waiting == 0 {
+		return waiting
+	}
+	c, limit := p.capOf(j.tenant)
+	if !quota.Limits(c) {
+		return waiting
+	}
+	counted := rooms[j.tenant]
+	held := p.caps.held[j.tenant].Plus(counted)
+	n := 0
+	if spec.Gang {
+		if limit.Allows(held, spec.Need.Times(waiting), spec.Need, c) {
+			n = waiting
+		}
+	} else {
+		for n < waiting && limit.Allows(held.Plus(spec.Need.Times(n)), spec.Need, spec.Need, c) {
+			n++
+		}
+	}
+	rooms[j.tenant] = counted.Plus(spec.Need.Times(n))
+	return n
+}
+
+// CapEntries returns the entries of the pool in the response to a grant.
+func (p *Pool) CapEntries(now time.Time, g *quota.Grant) []quota.Entry {
+	p.updateUsage(now)
+	tenants := map[work.TenantID]bool{}
+	for id := range p.caps.limits {
+		tenants[id] = true
+	}
+	for id := range p.caps.held {
+		tenants[id] = true
+	}
+	for id := range p.caps.usage {
+		tenants[id] = true
+	}
+	var out []quota.Entry
+	for _, id := range slices.Sorted(maps.Keys(tenants)) {
+		if quota.SlotOf(id) != g.Slot {
+			continue
+		}
+		u := quota.Usage{}
+		if waits := p.caps.usage[id]; waits != nil {
+			u = *waits
+		}
+		u.Held = p.caps.held[id]
+		if v := p.caps.views[id]; !v.Configured && v.Known {
+			u.Cap = v.Cap
+		}
+		stored := p.caps.limits[id]
+		c, effective := p.capOf(id)
+		if g.Reports(id, stored, effective, &u, c) {
+			out = append(out, quota.Entry{Pool: p.ID, Tenant: id, Usage: u, Limit: stored})
+		}
+	}
+	return out
+}
+
+// freeRoom is the free resources of the usable targets.
+type freeRoom struct {
+	free   []work.Resources // by target
+	sum    work.Resources
+	counts map[work.Resources]int // how many tasks of a need fit, one need at a time
+}
+
+func (p *Pool) newFreeRoom(now time.Time) *freeRoom {
+	room := &freeRoom{counts: map[work.Resources]int{}}
+	for _, t := range p.targets {
+		if !t.usable(now) || t.trial != nil {
+			continue
+		}
+		free := t.Capacity.Minus(t.reserved)
+		free = work.Resources{CPU: max(free.CPU, 0), Memory: max(free.Memory, 0), GPU: max(free.GPU, 0)}
+		room.free, room.sum = append(room.free, free), room.sum.Plus(free)
+	}
+	return room
+}
+
+// fit returns how many tasks of a need fit the targets.
+func (f *freeRoom) fit(need work.Resources) int {
+	n, known := f.counts[need]
+	if !known {
+		for _, free := range f.free {
+			n += timesIn(need, free)
+		}
+		f.counts[need] = n
+	}
+	return n
+}
+
+// timesIn returns how often an amount fits into another one.
+func timesIn(need, free work.Resources) int {
+	n := 1 << 20
+	if need.CPU > 0 {
+		n = min(n, int(free.CPU/need.CPU))
+	}
+	if need.Memory > 0 {
+		n = min(n, int(free.Memory/need.Memory))
+	}
+	if need.GPU > 0 {
+		n = min(n, int(free.GPU/need.GPU))
+	}
+	return n
+}
+
+// tenantWait collects what one tenant waits for.
+type tenantWait struct {
+	usage   *quota.Usage
+	cap     work.Resources
+	limit   quota.Limit
+	room    work.Resources // what is left of the free resources
+	counted int            // searches for room
+}
+
+// updateUsage computes what the tenants with a cap wait for, unless that was done less than usageValidity ago.
+func (p *Pool) updateUsage(now time.Time) {
+	if !p.caps.usageAt.IsZero() && now.Sub(p.caps.usageAt) < usageValidity {
+		return
+	}
+	p.caps.usageAt, p.caps.usage = now, nil
+	var room *freeRoom
+	waits := map[work.TenantID]*tenantWait{}
+	for _, j := range p.active {
+		if j.tenant == "" {
+			continue
+		}
+		w := waits[j.tenant]
+		if w == nil {
+			w = &tenantWait{}
+			w.cap, w.limit = p.capOf(j.tenant)
+			waits[j.tenant] = w
+		}
+		if !quota.Limits(w.cap) || !j.hasRunnable() {
+			continue
+		}
+		if room == nil {
+			room = p.newFreeRoom(now)
+		}
+		if w.usage == nil {
+			w.usage, w.room = &quota.Usage{}, room.sum
+		}
+		p.addWaiting(j, w, room)
+	}
+	for id, w := range waits {
+		if w.usage != nil {
+			if p.caps.usage == nil {
+				p.caps.usage = map[work.TenantID]*quota.Usage{}
+			}
+			p.caps.usage[id] = w.usage
+		}
+	}
+	p.reportHeldBack(now)
+}
+
+// addWaiting adds the waiting tasks of a job to those of its tenant.
+func (p *Pool) addWaiting(j *job, w *tenantWait, room *freeRoom) {
+	held := p.caps.held[j.tenant]
+	for _, o := range j.occurrences {
+		for s := range o.steps {
+			st, spec := &o.steps[s], &j.spec.Steps[s]
+			if st.waiting == 0 || st.pendingDeps > 0 {
+				continue
+			}
+			need, together := reservation(spec), 1
+			if spec.Gang {
+				together = st.waiting
+			}
+			n := min(st.waiting, timesIn(need, w.room))
+			if n > 0 && w.counted < maxPlacements {
+				w.counted++
+				n = min(n, room.fit(need))
+			}
+			n -= n % together
+			w.room = w.room.Minus(need.Times(n))
+			w.usage.Waiting = w.usage.Waiting.Plus(spec.Need.Times(n))
+			w.usage.Wanted = w.usage.Wanted.Plus(spec.Need.Times(st.waiting - n))
+			all := spec.Need.Times(together)
+			if n > 0 && w.usage.Next == (work.Resources{}) && !w.limit.Allows(held, all, spec.Need, w.cap) && mayEverStart(all, spec.Need, w.cap) {
+				w.usage.Next, w.usage.Member = all, spec.Need
+			}
+		}
+	}
+}
+
+// mayEverStart reports whether a task, or a gang, exceeds the cap by at most one task.
+func mayEverStart(all, member, c work.Resources) bool {
+	whole := quota.Limit{Whole: true, Cap: c}
+	return whole.Allows(work.Resources{}, all, member, c)
+}
+
+// reportHeldBack reports which tenants have begun or ceased to be held back by their caps.
+func (p *Pool) reportHeldBack(now time.Time) {
+	for id, u := range p.caps.usage {
+		if u.Next != (work.Resources{}) && p.caps.heldBack[id] == nil {
+			if p.caps.heldBack == nil {
+				p.caps.heldBack = map[work.TenantID]*heldBack{}
+			}
+			p.caps.heldBack[id] = &heldBack{since: now, now: true}
+		}
+	}
+	for _, id := range slices.Sorted(maps.Keys(p.caps.heldBack)) {
+		b, u := p.caps.heldBack[id], p.caps.usage[id]
+		if waits := u != nil && u.Next != (work.Resources{}); waits != b.now {
+			b.now, b.since = waits, now
+		}
+		if now.Sub(b.since) < heldBackDelay {
+			continue
+		}
+		if b.now && !b.reported {
+			b.reported = true
+			p.emit(Event{Kind: EventHeldBack, Detail: p.capDetail(id)})
+		}
+		if !b.now {
+			if b.reported {
+				p.emit(Event{Kind: EventReleased, Detail: p.capDetail(id)})
+			}
+			delete(p.caps.heldBack, id)
+		}
+	}
+}
+
+// capDetail describes what a tenant holds and may hold.
+func (p *Pool) capDetail(id work.TenantID) string {
+	c, limit := p.capOf(id)
+	u := quota.Usage{}
+	if waits := p.caps.usage[id]; waits != nil {
+		u = *waits
+	}
+	return fmt.Sprintf("tenant %q in pool %s: holds %s of %s allowed here, cap %s of version %d; next task needs %s", id, p.ID,
+		show(p.caps.held[id]), show(limit.Allowed), show(c), p.caps.views[id].Version, show(u.Next))
+}
+
+func show(r work.Resources) string {
+	return fmt.Sprintf("cpu=%d,mem=%d,gpu=%d", r.CPU, r.Memory, r.GPU)
+}
+
+// heldBackFor reports whether a tenant's tasks have been held back long enough to be reported.
+func (p *Pool) heldBackFor(id work.TenantID) bool {
+	b := p.caps.heldBack[id]
+	return id != "" && b != nil && b.reported
+}
+
+// addArrival counts a submission as demand. The work of a tenant at its cap is no demand for more capacity.
+func (p *Pool) addArrival(now time.Time, id work.JobID, spec *work.Spec, d admit.Demand) (first time.Time) {
+	if p.heldBackFor(spec.Tenant) {
+		d.CPUTime = 0
+	}
+	return p.arrivals.add(now, id, d)
+}
+
+// decideByCap refuses an admitted job that would complete too late because of what its tenant has accepted here, even if the
+// tenant could use its whole cap in this pool.
+func (p *Pool) decideByCap(queue work.QueueID, spec *work.Spec, d admit.Demand, decision admit.Decision) admit.Decision {
+	if !decision.Admit || spec.Tenant == "" {
+		return decision
+	}
+	c, _ := p.capOf(spec.Tenant)
+	if !quota.Limits(c) || !p.caps.views[spec.Tenant].Known {
+		return decision
+	}
+	var backlog, own admit.CapTimes
+	addCapTimes(&own, spec, nil, p.ratio(queue), c)
+	for _, j := range p.active {
+		if j.tenant != spec.Tenant || j.spec.HasServiceStep() {
+			continue
+		}
+		for _, o := range j.occurrences {
+			if o.stepsLeft > 0 {
+				addCapTimes(&backlog, j.spec, o, p.ratio(j.queue), c)
+			}
+		}
+	}
+	return admit.DecideByCap(backlog, own, d, decision)
+}
+
+// addCapTimes adds the time for which the tasks of a specification, or what is left of an occurrence, need a whole cap.
+func addCapTimes(times *admit.CapTimes, spec *work.Spec, o *occurrence, ratio float64, c work.Resources) {
+	for i := range spec.Steps {
+		s := &spec.Steps[i]
+		n := s.Count
+		if o != nil {
+			n = o.steps[i].tasksLeft
+		}
+		took := float64(n) * ratio * float64(s.Estimate)
+		add := func(d *time.Duration, need, limit int64) {
+			if limit > 0 {
+				*d += time.Duration(took * float64(need) / float64(limit))
+			}
+		}
+		add(&times.CPU, int64(s.Need.CPU), int64(c.CPU))
+		add(&times.Memory, int64(s.Need.Memory), int64(c.Memory))
+		add(&times.GPU, int64(s.Need.GPU), int64(c.GPU))
+	}
+}
+
+// storeCap adds the cap of a job's tenant to its record.
+func (p *Pool) storeCap(j *job, r *Record) {
+	if r == nil || j.tenant == "" {
+		return
+	}
+	if v := p.caps.views[j.tenant]; v.Known {
+		r.Cap = &capRecord{Cap: v.Cap, Version: v.Version}
+	}
+}
+
+// restoreCap reads the cap of a tenant from the record of one of its jobs.
+func (p *Pool) restoreCap(r *Record) {
+	if r.Cap == nil || r.Spec.Tenant == "" {
+		return
+	}
+	if v := p.caps.views[r.Spec.Tenant]; !v.Configured && r.Cap.Version >= v.Version {
+		p.setView(r.Spec.Tenant, quota.View{Known: true, Cap: r.Cap.Cap, Version: r.Cap.Version})
+	}
+}
+
+// CapUse is what a tenant with a cap holds in a pool, and may hold there.
+type CapUse struct {
+	Tenant   work.TenantID
+	Pool     ident.PoolID
+	Held     work.Resources
+	Allowed  work.Resources
+	HeldBack bool // the cap holds back tasks
+}
+
+// CapUses returns the uses of the tenants with a cap that hold something or are held back.
+func (p *Pool) CapUses() []CapUse {
+	var out []CapUse
+	add := func(id work.TenantID) {
+		if c, limit := p.capOf(id); quota.Limits(c) {
+			out = append(out, CapUse{Tenant: id, Pool: p.ID, Held: p.caps.held[id], Allowed: limit.Allowed, HeldBack: p.heldBackFor(id)})
+		}
+	}
+	for id := range p.caps.held {
+		add(id)
+	}
+	for id := range p.caps.heldBack {
+		if p.caps.held[id] == (work.Resources{}) {
+			add(id)
+		}
+	}
+	return out
+}
+
+// CompareCapUses orders uses by how near they are to what is allowed, the nearest first.
+func CompareCapUses(a, b CapUse) int {
+	switch {
+	case a.HeldBack != b.HeldBack && a.HeldBack:
+		return -1
+	case a.HeldBack != b.HeldBack:
+		return 1
+	}
+	return cmp.Or(cmp.Compare(b.share(), a.share()), cmp.Compare(a.Tenant, b.Tenant), cmp.Compare(a.Pool, b.Pool))
+}
+
+// share returns the largest share of what is allowed that is held.
+func (u *CapUse) share() float64 {
+	of := func(held, allowed int64) float64 {
+		if held == 0 || allowed == 0 {
+			return 0
+		}
+		return float64(held) / float64(allowed)
+	}
+	return max(of(int64(u.Held.CPU), int64(u.Allowed.CPU)), of(int64(u.Held.Memory), int64(u.Allowed.Memory)), of(int64(u.Held.GPU), int64(u.Allowed.GPU)))
+}
--- a/internal/jobs/crash.go
+++ b/internal/jobs/crash.go
@@ -207,7 +207,7 @@
 	p.suspects = slices.DeleteFunc(p.suspects, func(s *suspect) bool { return s.task.done || s.job.finished() || !s.task.crashes.OnTrial() })
 	slices.SortStableFunc(p.suspects, compareSuspects)
 	for _, s := range p.suspects {
-		if !p.onTrial(s.job, s.spec, s.task) || s.task.run != nil || s.step.pendingDeps > 0 || now.Before(s.task.notBefore) {
+		if !p.onTrial(s.job, s.spec, s.task) || s.task.run != nil || s.step.pendingDeps > 0 || now.Before(s.task.notBefore) || p.exceedsCap(s.job, s.spec, 1) {
 			continue
 		}
 		t := p.trialTarget(s)
--- a/internal/jobs/event.go
+++ b/internal/jobs/event.go
@@ -28,6 +28,8 @@
 	EventCheckpointIgnored EventKind = "checkpoint_ignored" // a checkpoint is too long to be stored
 	EventTrialUnanswered   EventKind = "trial_unanswered"   // a target that was to be used for the trial of a task doesn't answer
 	EventCommonLoss        EventKind = "common_loss"        // targets of a rack or zone were lost together, so that their tasks aren't blamed
+	EventHeldBack          EventKind = "held_back"          // a tenant's cap holds back tasks that could start
+	EventReleased          EventKind = "released"           // it doesn't any more
 	EventCrash             EventKind = "crash"              // a target has crashed shortly after it had started a task
 )
 
--- a/internal/jobs/plan.go
+++ b/internal/jobs/plan.go
@@ -172,7 +172,7 @@
 // planStep plans runs of the waiting tasks of a step, as far as they fit.
 func (p *Pool) planStep(now time.Time, j *job, o *occurrence, s int, cs *candidateSet) {
 	spec, st := &j.spec.Steps[s], &o.steps[s]
-	if !reservation(spec).Fits(cs.maxFree) {
+	if !reservation(spec).Fits(cs.maxFree) || p.exceedsCap(j, spec, 1) {
 		return
 	}
 	advice := p.adviceFor(now, j, o.number, s, cs)
@@ -192,6 +192,9 @@
 		if p.onTrial(j, spec, t) && t.awaitsTrial(now, spec) {
 			continue
 		}
+		if p.exceedsCap(j, spec, 1) {
+			return
+		}
 		k := cs.best(spec, t, advice, zone)
 		if k < 0 {
 			return // the other tasks of the step do not fit either
@@ -245,6 +248,9 @@
 			checkpoint = t.checkpoint
 		}
 	}
+	if p.exceedsCap(j, spec, len(st.tasks)) {
+		return
+	}
 	advice := p.adviceFor(now, j, o.number, s, cs)
 	if advice == nil {
 		return
--- a/internal/jobs/pool.go
+++ b/internal/jobs/pool.go
@@ -51,7 +51,8 @@
 	extendable        []work.TargetID // since the last call of TakeExtendable
 	arrivals          arrivalRate
 	reserve           work.Millicores // capacity that is on its way to the pool or can be lent to it
-	directed          bool            // the fleet controller sends directives, so that reserve is up to date
+	caps              capState
+	directed          bool // the fleet controller sends directives, so that reserve is up to date
 }
 
 // Bounds are the properties of the platform that the pool relies on.
@@ -116,9 +117,9 @@
 func (p *Pool) Submit(now time.Time, id work.JobID, queue work.Queue, spec *work.Spec) SubmitResult {
 	p.addUnknownQueue(queue)
 	demand := p.demand(queue, spec)
-	first := p.arrivals.add(now, id, demand)
+	first := p.addArrival(now, id, spec, demand)
 	demand.Elapsed = now.Sub(first)
-	decision := admit.Decide(p.load(now), demand)
+	decision := p.decideByCap(queue.ID, spec, demand, admit.Decide(p.load(now), demand))
 	if !decision.Admit {
 		p.emit(Event{Kind: EventRefused, Job: id, Queue: queue.ID, Detail: decision.Reason, Delay: decision.RetryAfter})
 		return SubmitResult{Refused: true, RetryAfter: decision.RetryAfter}
@@ -136,7 +137,7 @@
 // objective counts from this submission.
 func (p *Pool) NoteArrival(now time.Time, id work.JobID, queue work.Queue, spec *work.Spec) {
 	p.addUnknownQueue(queue)
-	p.arrivals.add(now, id, p.demand(queue, spec))
+	p.addArrival(now, id, spec, p.demand(queue, spec))
 }
 
 // Known reports whether the pool has a job with this id, stored or about to be stored.
@@ -223,6 +224,7 @@
 // Restore adds a job from its records. Call it before the first event.
 func (p *Pool) Restore(now time.Time, r *Record, segments ...*SegmentRecord) {
 	p.addUnknownQueue(r.Queue)
+	p.restoreCap(r)
 	j := restoreJob(p, now, r, segments)
 	p.addJob(now, j)
 	p.arrivals.restore(p.wallTime(now).Sub(r.Accepted), now, r.ID, p.demand(r.Queue, &r.Spec))
--- a/internal/jobs/record.go
+++ b/internal/jobs/record.go
@@ -34,6 +34,8 @@
 	// Started says that a task has started. While tasks have targets, the job may have started without it: it is stored at the
 	// latest when the first of them has ended.
 	Started bool `cbor:"14,keyasint,omitempty"`
+	// Cap is the last known cap of the job's tenant; nil if it has none or its tenant is unknown.
+	Cap *capRecord `cbor:"15,keyasint,omitempty"`
 }
 
 // TaskRecord is the stored state of a task that has been planned at least once and is not done.
--- a/internal/jobs/report.go
+++ b/internal/jobs/report.go
@@ -149,6 +149,7 @@
 		}
 		out.Targets = append(out.Targets, s)
 	}
+	rooms := capRooms{}
 	for _, j := range p.active {
 		for _, o := range j.occurrences {
 			for i := range o.steps {
@@ -156,9 +157,11 @@
 				if st.pendingDeps > 0 || st.tasksLeft == 0 {
 					continue
 				}
-				out.Runnable = out.Runnable.Plus(reservation(spec).Times(st.waiting))
+				startable := p.startable(rooms, j, spec, st.waiting)
+				out.Runnable = out.Runnable.Plus(reservation(spec).Times(startable))
 				if spec.MaxPerTarget > 0 {
-					out.MinTargets = max(out.MinTargets, (st.tasksLeft+spec.MaxPerTarget-1)/spec.MaxPerTarget)
+					left := st.tasksLeft - st.waiting + startable
+					out.MinTargets = max(out.MinTargets, (left+spec.MaxPerTarget-1)/spec.MaxPerTarget)
 				}
 			}
 		}
--- a/internal/jobs/run.go
+++ b/internal/jobs/run.go
@@ -119,6 +119,7 @@
 	if r.spec != nil {
 		t.reserved = t.reserved.Plus(reservation(r.spec))
 		t.count(r.spec, 1)
+		p.hold(r, 1)
 	}
 	if r.task != nil {
 		r.task.run = r
@@ -164,6 +165,7 @@
 		if r.spec != nil {
 			t.reserved = t.reserved.Minus(reservation(r.spec))
 			t.count(r.spec, -1)
+			p.hold(r, -1)
 		}
 	}
 	if r.task != nil && r.task.run == r {
--- a/internal/jobs/tick.go
+++ b/internal/jobs/tick.go
@@ -29,6 +29,9 @@
 			delete(p.advice, key)
 		}
 	}
+	if len(p.caps.views) > 0 {
+		p.updateUsage(now)
+	}
 	p.replan = p.replan || p.anyRunnable()
 }
 
--- a/internal/jobs/write.go
+++ b/internal/jobs/write.go
@@ -24,7 +24,9 @@
 	changes := make([]Change, 0, len(p.dirty))
 	for _, id := range slices.Sorted(maps.Keys(p.dirty)) {
 		j := p.dirty[id]
-		changes = append(changes, j.takeChange(p.ID, p.queues[j.queue]))
+		c := j.takeChange(p.ID, p.queues[j.queue])
+		p.storeCap(j, c.Record)
+		changes = append(changes, c)
 	}
 	clear(p.dirty)
 	n := p.nextWrite
--- /dev/null
+++ b/internal/quota/allocator.go
@@ -0,0 +1,302 @@
+package quota
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/toucanhatch/toucanhatch/internal/work"
+	"github.com/toucanhatch/toucanhatch/pkg/ident"
+)
+
+// ErrSuperseded means that a partition has accepted a grant of a later allocator.
+var ErrSuperseded = errors.New("a later allocator is at work")
+
+// silentRounds is how many requests in a row a partition leaves unanswered before it gets no raises: a raise that can't
+// arrive would keep its amount from the others.
+const silentRounds = 3
+
+// Tenant is a tenant with a cap.
+type Tenant struct {
+	ID  work.TenantID
+	Cap work.Resources
+}
+
+// Pool is a configured pool.
+type Pool struct {
+	ID        ident.PoolID
+	Partition int
+}
+
+// Allocator decides the limits of the tenants of one slot. Its state is that of its partitions, so a new one begins with
+// their reports. It is not safe for concurrent use. Set its exported fields before the first call.
+type Allocator struct {
+	Slot       Slot
+	Epoch      int64 // above that of all former allocators of the slot
+	Partitions int
+
+	version  int64 // of the configuration
+	pools    []Pool
+	parts    []*part
+	tenants  map[work.TenantID]*tenant
+	rounds   uint64 // of Rebalance
+	asked    []work.TenantID
+	raised   int
+	lowered  int
+	withheld bool
+
+	// withoutSilent leaves out partitions that don't answer. A test switches it on to show that it finds a violation then.
+	withoutSilent bool
+}
+
+// part is what the allocator knows of a partition.
+type part struct {
+	seq      uint64 // of the newest grant
+	stored   uint64 // of the newest grant that is known to be durable
+	known    bool   // all limits are known, and none of a former allocator can come any more
+	round    uint64 // of the newest request
+	answered uint64 // round of the newest report
+	version  int64
+	cells    map[cellKey]*cell
+}
+
+type cellKey struct {
+	pool   ident.PoolID
+	tenant work.TenantID
+}
+
+// cell is a tenant in a pool.
+type cell struct {
+	part  *part
+	sent  []sentLimit // the limit in the newest durable grant, and all later ones
+	usage Usage
+	fresh uint64 // round of the report that last had an entry for it
+	short uint64 // Allocator.rounds since when a task waits and it holds nothing; 0 if none waits
+}
+
+type sentLimit struct {
+	seq   uint64
+	limit Limit
+}
+
+// tenant is what the allocator knows of a tenant.
+type tenant struct {
+	id         work.TenantID
+	cap        work.Resources // the last known
+	version    int64          // of the configuration that set it; 0 if unknown
+	configured bool
+	cells      map[ident.PoolID]*cell
+}
+
+// limit returns the newest limit.
+func (c *cell) limit() Limit {
+	if len(c.sent) == 0 {
+		return Limit{}
+	}
+	return c.sent[len(c.sent)-1].limit
+}
+
+// count returns what the tasks of the cell may hold.
+func (c *cell) count() amount {
+	out := amountOf(c.usage.Held)
+	for i := range c.sent {
+		out = out.max(amountOf(c.sent[i].limit.Allowed))
+	}
+	return out
+}
+
+// mayExceed reports whether a task above the cap may start.
+func (c *cell) mayExceed() bool {
+	return slices.ContainsFunc(c.sent, func(s sentLimit) bool { return s.limit.Whole })
+}
+
+// prune drops the limits that no partition can have any more.
+func (c *cell) prune(stored uint64) {
+	first := 0
+	for i := range c.sent {
+		if c.sent[i].seq <= stored {
+			first = i
+		}
+	}
+	c.sent = c.sent[first:]
+}
+
+// Init prepares the allocator.
+func (a *Allocator) Init() {
+	a.tenants = map[work.TenantID]*tenant{}
+	for range a.Partitions {
+		a.parts = append(a.parts, &part{seq: 1, cells: map[cellKey]*cell{}})
+	}
+}
+
+// Configure sets the configuration in force. A tenant that is missing keeps its last cap.
+func (a *Allocator) Configure(version int64, tenants []Tenant, pools []Pool) {
+	if version == a.version {
+		return
+	}
+	a.version, a.pools = version, pools
+	for _, t := range a.tenants {
+		t.configured = false
+	}
+	for i := range tenants {
+		if SlotOf(tenants[i].ID) != a.Slot {
+			continue
+		}
+		t := a.tenant(tenants[i].ID)
+		t.cap, t.version, t.configured = tenants[i].Cap, version, true
+	}
+}
+
+func (a *Allocator) tenant(id work.TenantID) *tenant {
+	t := a.tenants[id]
+	if t == nil {
+		t = &tenant{id: id, cells: map[ident.PoolID]*cell{}}
+		a.tenants[id] = t
+	}
+	return t
+}
+
+func (a *Allocator) cell(p *part, pool ident.PoolID, id work.TenantID) *cell {
+	key := cellKey{pool, id}
+	c := p.cells[key]
+	if c == nil {
+		c = &cell{part: p}
+		p.cells[key] = c
+		a.tenant(id).cells[pool] = c
+	}
+	return c
+}
+
+// Request returns the next request to a partition.
+func (a *Allocator) Request(partition int) Grant {
+	p := a.parts[partition]
+	p.round++
+	g := Grant{Slot: a.Slot, Number: Number{Epoch: a.Epoch, Seq: p.seq}, Base: p.stored, Round: p.round, Full: !p.known, Tenants: a.asked}
+	if p.stored == p.seq {
+		return g
+	}
+	for key, c := range p.cells {
+		if n := len(c.sent); n > 0 && c.sent[n-1].seq > p.stored {
+			g.Changes = append(g.Changes, Change{Pool: key.pool, Tenant: key.tenant, Limit: c.sent[n-1].limit})
+		}
+	}
+	slices.SortFunc(g.Changes, compareChanges)
+	return g
+}
+
+// Handle handles the report of a partition. One that is older than another of the same partition, by its round or by what it
+// has stored, is ignored: it may come from a former owner.
+func (a *Allocator) Handle(partition int, r *Report) error {
+	p := a.parts[partition]
+	if r.Stored.Epoch > a.Epoch {
+		return ErrSuperseded
+	}
+	if r.Slot != a.Slot || r.Round <= p.answered || r.Round > p.round || r.Stored.Epoch < a.Epoch || r.Stored.Seq < p.stored {
+		return nil
+	}
+	if !p.known && !r.Full {
+		return nil
+	}
+	p.answered, p.version, p.stored = r.Round, r.Version, r.Stored.Seq
+	first := !p.known
+	p.known = true
+	for _, c := range p.cells {
+		c.prune(p.stored)
+		c.usage = Usage{Cap: c.usage.Cap}
+	}
+	for i := range r.Entries {
+		e := &r.Entries[i]
+		if SlotOf(e.Tenant) != a.Slot {
+			continue
+		}
+		c := a.cell(p, e.Pool, e.Tenant)
+		if first {
+			c.sent = []sentLimit{{0, e.Limit}}
+		}
+		c.usage, c.fresh = e.Usage, r.Round
+		if t := a.tenant(e.Tenant); !t.configured { // it was removed, or is not known yet
+			switch {
+			case e.Limit.Version > t.version:
+				t.cap, t.version = e.Limit.Cap, e.Limit.Version
+			case t.version == 0 && !Limits(t.cap):
+				t.cap = e.Usage.Cap
+			}
+		}
+	}
+	return nil
+}
+
+// Ready reports whether all partitions have told their limits, by the configuration in force. Until then no limit is raised: a
+// partition that has another version may let a tenant hold what its reports don't show.
+func (a *Allocator) Ready() bool {
+	for _, p := range a.parts {
+		if (!p.known || p.version != a.version) && !a.withoutSilent {
+			return false
+		}
+	}
+	return a.version > 0
+}
+
+// Withhold makes the allocator raise no limit, because the configuration may not be the newest.
+func (a *Allocator) Withhold(on bool) { a.withheld = on }
+
+// Rebalance decides new limits by what is known, and reports whether there are any.
+func (a *Allocator) Rebalance() bool {
+	a.rounds++
+	a.raised, a.lowered = 0, 0
+	a.asked = a.asked[:0:0]
+	ready := a.Ready() && !a.withheld
+	for _, id := range slices.Sorted(maps.Keys(a.tenants)) {
+		if t := a.tenants[id]; Limits(t.cap) {
+			a.rebalance(t, ready)
+		}
+	}
+	for _, p := range a.parts {
+		for _, c := range p.cells {
+			if n := len(c.sent); n > 0 && c.sent[n-1].seq > p.seq {
+				p.seq++ // all changes of a round have the same number
+				break
+			}
+		}
+	}
+	return a.raised+a.lowered > 0
+}
+
+// live reports whether the partition has answered one of the last requests.
+func (p *part) live() bool { return p.known && p.round-p.answered < silentRounds }
+
+// Changed returns how many limits the last round has raised and lowered.
+func (a *Allocator) Changed() (raised, lowered int) { return a.raised, a.lowered }
+
+// set sets a limit in the next grant.
+func (a *Allocator) set(c *cell, l Limit) {
+	before := c.limit()
+	if l == before {
+		return
+	}
+	if !before.Allowed.Fits(l.Allowed) {
+		a.lowered++
+	} else {
+		a.raised++
+	}
+	seq := c.part.seq + 1
+	if n := len(c.sent); n > 0 && c.sent[n-1].seq == seq {
+		c.sent[n-1].limit = l // not sent yet
+		return
+	}
+	if len(c.sent) == 0 {
+		c.sent = append(c.sent, sentLimit{})
+	}
+	c.sent = append(c.sent, sentLimit{seq, l})
+}
+
+func compareChanges(x, y Change) int {
+	switch {
+	case x.Pool != y.Pool && x.Pool < y.Pool, x.Pool == y.Pool && x.Tenant < y.Tenant:
+		return -1
+	case x.Pool == y.Pool && x.Tenant == y.Tenant:
+		return 0
+	}
+	return 1
+}
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -14,6 +14,7 @@
 	"github.com/toucanhatch/toucanhatch/internal/panics"
 	"github.com/toucanhatch/toucanhatch/internal/permit"
 	"github.com/toucanhatch/toucanhatch/internal/plog"
+	"github.com/toucanhatch/toucanhatch/internal/quota"
 	"github.com/toucanhatch/toucanhatch/internal/work"
 	"github.com/toucanhatch/toucanhatch/pkg/ident"
 )
@@ -98,6 +99,10 @@
 	Queues func() []work.Queue
 	// Tenants returns the current configuration of the tenants. It may be nil.
 	Tenants func() []work.Tenant
+	// Caps returns the version of the configuration and its tenants. It may be nil.
+	Caps func() (version int64, tenants []work.Tenant)
+	// RecordCaps, if not nil, is called with the tenants that are nearest to what they may hold, at most [MaxCapUses].
+	RecordCaps func([]jobs.CapUse)
 	// WallOffset returns what to add to a time of Clock to get the wall time.
 	WallOffset func() time.Duration
 	// LastConfirmed returns when the log last confirmed the ownership.
@@ -123,6 +128,9 @@
 	lastCalibrationWrite time.Time           // when the pools' calibrations were last written
 	lastExpiry           time.Time           // when finished jobs were last searched for expired ones
 	takeoverStart        time.Time
+	allowances           quota.Allowances
+	capsLog              capsLog
+	lastCapsRecord       time.Time
 	lastPlan             time.Time // start of the last round of planning
 	planScheduled        bool      // an event is due after which planning is possible again
 	closing              bool      // the shard ends once its changes are written
@@ -228,6 +236,9 @@
 		s.pool(c.Pool).RestoreCalibration(c)
 	}
 	s.restore(now, stored)
+	for _, id := range s.allowances.Pools() {
+		s.pool(id)
+	}
 	for _, q := range s.Queues() {
 		if PartitionOf(q.Pool, s.Partitions) == s.Partition {
 			s.pool(q.Pool) // so that its targets are known before the first job arrives
@@ -313,6 +324,10 @@
 		p.Bounds.InheritedLease, p.Bounds.MaxLease = previousLeaseTime, maxLease
 		p.Events = s.Events
 		p.SetWallOffset(s.WallOffset()) // stored times are wall times
+		p.SetLimits(s.allowances.Of(id))
+		if s.Caps != nil {
+			p.SetCaps(s.Caps())
+		}
 		s.pools[id] = p
 	}
 	return p
@@ -331,6 +346,7 @@
 // tick does the work that depends on time alone.
 func (s *Shard) tick(now time.Time) {
 	s.refuseQueued(now)
+	s.recordCaps(now)
 	for _, p := range s.pools {
 		s.refresh(now, p)
 		p.Tick(now)
--- a/internal/shard/targets.go
+++ b/internal/shard/targets.go
@@ -15,6 +15,9 @@
 	if s.Tenants != nil {
 		p.SetTenants(s.Tenants())
 	}
+	if s.Caps != nil {
+		p.SetCaps(s.Caps())
+	}
 	p.SetWallOffset(s.WallOffset())
 	live := map[work.TargetID]bool{}
 	for _, reg := range s.Targets.Snapshot(p.ID) {
--- a/internal/shard/write.go
+++ b/internal/shard/write.go
@@ -13,6 +13,7 @@
 	"github.com/toucanhatch/toucanhatch/internal/jobs"
 	"github.com/toucanhatch/toucanhatch/internal/panics"
 	"github.com/toucanhatch/toucanhatch/internal/plog"
+	"github.com/toucanhatch/toucanhatch/internal/quota"
 	"github.com/toucanhatch/toucanhatch/internal/stall"
 	"github.com/toucanhatch/toucanhatch/internal/work"
 	"github.com/toucanhatch/toucanhatch/pkg/ident"
@@ -48,6 +49,7 @@
 	changes      map[*pool][]jobs.Change
 	proofWaiters []chan error
 	invalid      map[string]bool // keys of the records that the log has rejected
+	caps         *quota.Write    // nil if no allowance has changed
 }
 
 // startWrite writes all changes, unless a write is in flight or the last one was refused less than refusedPause ago.
@@ -58,6 +60,7 @@
 	w := &write{startedAt: now, writeSeqs: map[*pool]jobs.WriteSeq{}, changes: map[*pool][]jobs.Change{}, invalid: map[string]bool{}}
 	records := s.tombstones
 	s.tombstones = nil
+	records = s.appendAllowances(w, records)
 	for _, p := range s.pools {
 		changed, writeSeq := p.BeginWrite()
 		if len(changed) == 0 {
@@ -182,12 +185,14 @@
 	switch {
 	case err == nil && len(w.invalid) > 0:
 		s.inFlight = nil
+		s.allowancesStored(w)
 		for _, reply := range w.proofWaiters {
 			reply <- nil
 		}
 		s.recordsRejected(now, w)
 	case err == nil:
 		s.inFlight = nil
+		s.allowancesStored(w)
 		for _, reply := range w.proofWaiters {
 			reply <- nil
 		}
@@ -235,6 +240,9 @@
 // writeRefused withdraws the jobs submitted in a write that was not carried out, so that their
 // clients can be refused, and marks the other changes for the next write.
 func (s *Shard) writeRefused(now time.Time, w *write) {
+	if w.caps != nil {
+		s.allowances.RetryWrite(w.caps)
+	}
 	for p, changes := range w.changes {
 		writeSeq := w.writeSeqs[p]
 		p.refuseWaiting(now, func(x waiter) bool { return x.writeSeq <= writeSeq })
@@ -304,7 +312,7 @@
 		}
 		for _, r := range page.Records {
 			after = r.Key
-			if r.Key == proofKey || s.readCalibration(r) {
+			if r.Key == proofKey || s.readCalibration(r) || s.readAllowance(r) {
 				continue
 			}
 			if err := stored.Add(jobs.Entry(r)); err != nil {
