--- a/internal/jobs/sim_test.go
+++ b/internal/jobs/sim_test.go
@@ -141,6 +141,7 @@
 	p.Bounds = Bounds{StopTimeout: simStopTime, RemoteCost: 1, Retention: time.Hour, InheritedLease: simInheritedLease, MaxLease: simLease + simLease/25}
 	p.segmentTasks = s.segmentTasks
 	p.SetQueues([]work.Queue{{ID: "q", Pool: "pool", MaxAttempts: 3, SlackFactor: 2, Objective: time.Minute}})
+	s.setCaps(p)
 	fence := s.fence
 	p.Events = func(e Event) {
 		s.tracef("owner %d: %s %v %d %s %s", fence, e.Kind, e.Task, e.Attempt, e.Target, e.Detail)
@@ -404,6 +405,7 @@
 	}
 	s.checkLeaseEnds()
 	s.checkBegun()
+	s.checkCap()
 }
 
 // checkBegun checks that a job of which an owner has known that it has begun doesn't become a waiting one again.
@@ -576,6 +578,7 @@
 	resizes         bool // targets lose capacity and get it back
 	maxEnds         int  // ends that a target lists in one report; 0 sets no limit
 	segmentTasks    int  // tasks in a segment, of whose records a write may store only some; 0 if jobs have one record
+	capped          bool // all jobs belong to a tenant with a cap
 	// faults are the faults to choose from; nil stands for the first ten.
 	faults []int
 	rounds int // jobs and faults; 0 stands for 12
@@ -594,6 +597,9 @@
 			if i%5 == 4 {
 				spec = &work.Spec{Steps: []work.Step{{Count: 3, Need: work.Resources{CPU: 500, Memory: 300}, Service: true, MaxPerTarget: 1, MaxUnavailable: 1}}}
 			}
+			if options.capped {
+				spec.Tenant = simTenant
+			}
 			s.failuresLeft[work.TaskID{Job: id, Index: 1}] = s.rand(3)
 			s.submit(id, spec)
 			for range rapid.IntRange(1, 15).Draw(t, "steps") {
--- a/internal/quota/allocator.go
+++ b/internal/quota/allocator.go
@@ -46,8 +46,11 @@
 	lowered  int
 	withheld bool
 
-	// withoutSilent leaves out partitions that don't answer. A test switches it on to show that it finds a violation then.
+	// The safeguards that a test switches off to show that it finds a violation without them. withoutSilent leaves out
+	// partitions that don't answer.
 	withoutSilent bool
+	// withoutVersions lets it raise limits while partitions plan by other versions, withoutExcess while the counts exceed the cap.
+	withoutVersions, withoutExcess bool
 }
 
 // part is what the allocator knows of a partition.
@@ -231,7 +234,7 @@
 // partition that has another version may let a tenant hold what its reports don't show.
 func (a *Allocator) Ready() bool {
 	for _, p := range a.parts {
-		if (!p.known || p.version != a.version) && !a.withoutSilent {
+		if !p.known && !a.withoutSilent || p.version != a.version && !a.withoutVersions && !a.withoutSilent {
 			return false
 		}
 	}
--- a/internal/quota/divide.go
+++ b/internal/quota/divide.go
@@ -45,6 +45,12 @@
 		}
 	}
 	d := a.newDivision(t, base)
+	if d.overcommitted() {
+		for _, c := range d.cells {
+			a.set(c, Limit{})
+		}
+		return
+	}
 	if !d.needed(a.rounds) {
 		return
 	}
@@ -115,6 +121,21 @@
 	return d
 }
 
+// overcommitted reports whether a pool holds so much beyond its limit that the limits of the others may raise the total above
+// the cap. That can be after the tenant had no cap for a while: then all limits are revoked.
+func (d *division) overcommitted() bool {
+	var beyond, within amount
+	for _, c := range d.cells {
+		held, allowed := amountOf(c.usage.Held), amountOf(c.limit().Allowed)
+		if held.within(allowed, d.caps) || c.mayExceed() {
+			within = within.plus(allowed)
+		} else {
+			beyond = beyond.plus(held)
+		}
+	}
+	return within != (amount{}) && beyond != (amount{}) && !beyond.plus(within).within(d.caps, d.caps)
+}
+
 // lowest returns the lower of two caps for each resource that the first one limits.
 func lowest(caps, other amount) amount {
 	for i := range caps {
@@ -311,7 +332,7 @@
 // raise raises the limits of those that lack something, from what is free. While the counts exceed the cap, none is raised, not
 // even to what a cell holds: it could start tasks once some of its own have ended, and before those of the others have.
 func (d *division) raise(a *Allocator) {
-	if !(amount{}).within(d.free, d.caps) {
+	if !(amount{}).within(d.free, d.caps) && !a.withoutExcess {
 		return
 	}
 	for i, c := range d.cells {
--- a/internal/shard/caps.go
+++ b/internal/shard/caps.go
@@ -29,16 +29,16 @@
 
 // Allocate passes a grant to the pools of the partition, and returns their report. An owner that a later one has replaced may
 // answer: what it says is stored is so, and the allocator counts all that it has sent since.
-func (s *Shard) Allocate(ctx context.Context, g quota.Grant) (r quota.Report, err error) {
-	reply := make(chan error, 1)
-	err = s.call(ctx, reply, func(now time.Time) {
+func (s *Shard) Allocate(ctx context.Context, g quota.Grant) (quota.Report, error) {
+	reply, result := make(chan error, 1), make(chan quota.Report, 1)
+	err := s.call(ctx, reply, func(now time.Time) {
 		for _, c := range s.allowances.Accept(&g) {
 			s.noteAllowance(c)
 			if PartitionOf(c.Pool, s.Partitions) == s.Partition {
 				s.pool(c.Pool).SetLimits(s.allowances.Of(c.Pool))
 			}
 		}
-		r = quota.Report{Slot: g.Slot, Round: g.Round, Stored: s.allowances.Stored(g.Slot), Full: g.Full}
+		r := quota.Report{Slot: g.Slot, Round: g.Round, Stored: s.allowances.Stored(g.Slot), Full: g.Full}
 		var tenants []work.Tenant
 		if s.Caps != nil {
 			r.Version, tenants = s.Caps()
@@ -48,9 +48,13 @@
 			r.Entries = append(r.Entries, p.CapEntries(now, &g)...)
 		}
 		s.logAllowances(now)
+		result <- r
 		reply <- nil
 	})
-	return r, err
+	if err != nil {
+		return quota.Report{}, err
+	}
+	return <-result, nil
 }
 
 // noteAllowance notes a changed allowance for the log.
