quota, jobs: a record for each limit, nothing kept for jobs that can't run

Cause: a record with all limits of a pool would be written whole at each change, about 1 KB at 20 tenants; a job whose label no target has would have kept an allowance from other pools for good. Change: one record for each limit that isn't zero; tasks that fit no target ask for nothing; cells that a tenant doesn't use are left out of a round.

--- a/internal/jobs/caps.go
+++ b/internal/jobs/caps.go
@@ -172,38 +172,67 @@
 	return out
 }
 
-// freeRoom is the free resources of the usable targets.
+// freeRoom is the room on the targets.
 type freeRoom struct {
-	free   []work.Resources // by target
-	sum    work.Resources
-	counts map[work.Resources]int // how many tasks of a need fit, one need at a time
+	targets []*target        // the usable ones
+	free    []work.Resources // of targets
+	sum     work.Resources
+	all     []*target // all registered ones
+	counts  map[roomKey]roomCount
+}
+
+// roomKey is what decides on how many targets there is room for a task.
+type roomKey struct {
+	need         work.Resources
+	label        string
+	maxPerTarget int
+}
+
+// roomCount says how many tasks fit now, and whether one could ever.
+type roomCount struct {
+	now  int
+	ever bool
 }
 
 func (p *Pool) newFreeRoom(now time.Time) *freeRoom {
-	room := &freeRoom{counts: map[work.Resources]int{}}
+	room := &freeRoom{counts: map[roomKey]roomCount{}}
 	for _, t := range p.targets {
+		if t.registered {
+			room.all = append(room.all, t)
+		}
 		if !t.usable(now) || t.trial != nil {
 			continue
 		}
 		free := t.Capacity.Minus(t.reserved)
 		free = work.Resources{CPU: max(free.CPU, 0), Memory: max(free.Memory, 0), GPU: max(free.GPU, 0)}
-		room.free, room.sum = append(room.free, free), room.sum.Plus(free)
+		room.targets, room.free, room.sum = append(room.targets, t), append(room.free, free), room.sum.Plus(free)
 	}
 	return room
 }
 
-// fit returns how many tasks of a need fit the targets.
-func (f *freeRoom) fit(need work.Resources) int {
-	n, known := f.counts[need]
-	if !known {
-		for _, free := range f.free {
-			n += timesIn(need, free)
+// count returns how many tasks of a step, each apart from all others, fit the targets. A pool without targets may get some.
+func (f *freeRoom) count(spec *work.Step) roomCount {
+	key := roomKey{reservation(spec), spec.Label, spec.MaxPerTarget}
+	c, known := f.counts[key]
+	if known {
+		return c
+	}
+	for i, t := range f.targets {
+		if t.hasLabel(spec.Label) {
+			n := timesIn(key.need, f.free[i])
+			if spec.MaxPerTarget > 0 {
+				n = min(n, spec.MaxPerTarget)
+			}
+			c.now += n
 		}
-		f.counts[need] = n
 	}
-	return n
+	c.ever = len(f.all) == 0 || slices.ContainsFunc(f.all, func(t *target) bool { return t.hasLabel(spec.Label) && key.need.Fits(t.Capacity) })
+	f.counts[key] = c
+	return c
 }
 
+func (t *target) hasLabel(label string) bool { return label == "" || slices.Contains(t.Labels, label) }
+
 // timesIn returns how often an amount fits into another one.
 func timesIn(need, free work.Resources) int {
 	n := 1 << 20
@@ -282,9 +311,13 @@
 				together = st.waiting
 			}
 			n := min(st.waiting, timesIn(need, w.room))
-			if n > 0 && w.counted < maxPlacements {
+			if w.counted < maxPlacements {
 				w.counted++
-				n = min(n, room.fit(need))
+				c := room.count(spec)
+				if !c.ever {
+					continue // a job that can't run must not keep allowances from others
+				}
+				n = min(n, c.now)
 			}
 			n -= n % together
 			w.room = w.room.Minus(need.Times(n))
--- a/internal/jobs/caps_test.go
+++ b/internal/jobs/caps_test.go
@@ -272,6 +272,19 @@
 	}
 }
 
+// Guards against jobs that can never run, and for which a cap would keep allowances from other pools.
+func TestJobsThatCannotRunAskForNothing(t *testing.T) {
+	h := newCapHarness(t, 2000)
+	label := tasks(4, 1000)
+	label.Label = "none has it"
+	h.submitFor(cappedTenant, "0000000000000001", label)
+	h.submitFor(cappedTenant, "0000000000000002", tasks(1, 17_000))
+	h.planAndCarryOut()
+	if e := h.entryOf(t); e.Usage.Waiting != (work.Resources{}) || e.Usage.Wanted != (work.Resources{}) || e.Usage.Next != (work.Resources{}) {
+		t.Errorf("reported %+v, want nothing that waits", e.Usage)
+	}
+}
+
 // Guards against log lines at each round while a tenant is at its cap.
 func TestHeldBackIsReportedOnce(t *testing.T) {
 	h := newCapHarness(t, 4000)
--- a/internal/quota/allocator.go
+++ b/internal/quota/allocator.go
@@ -61,12 +61,7 @@
 	round    uint64 // of the newest request
 	answered uint64 // round of the newest report
 	version  int64
-	cells    map[cellKey]*cell
-}
-
-type cellKey struct {
-	pool   ident.PoolID
-	tenant work.TenantID
+	cells    map[limitKey]*cell
 }
 
 // cell is a tenant in a pool.
@@ -129,7 +124,7 @@
 func (a *Allocator) Init() {
 	a.tenants = map[work.TenantID]*tenant{}
 	for range a.Partitions {
-		a.parts = append(a.parts, &part{seq: 1, cells: map[cellKey]*cell{}})
+		a.parts = append(a.parts, &part{seq: 1, cells: map[limitKey]*cell{}})
 	}
 }
 
@@ -161,7 +156,7 @@
 }
 
 func (a *Allocator) cell(p *part, pool ident.PoolID, id work.TenantID) *cell {
-	key := cellKey{pool, id}
+	key := limitKey{pool, id}
 	c := p.cells[key]
 	if c == nil {
 		c = &cell{part: p}
@@ -184,7 +179,7 @@
 			g.Changes = append(g.Changes, Change{Pool: key.pool, Tenant: key.tenant, Limit: c.sent[n-1].limit})
 		}
 	}
-	slices.SortFunc(g.Changes, compareChanges)
+	slices.SortFunc(g.Changes, func(x, y Change) int { return limitKey{x.Pool, x.Tenant}.compare(limitKey{y.Pool, y.Tenant}) })
 	return g
 }
 
@@ -293,13 +288,3 @@
 	}
 	c.sent = append(c.sent, sentLimit{seq, l})
 }
-
-func compareChanges(x, y Change) int {
-	switch {
-	case x.Pool != y.Pool && x.Pool < y.Pool, x.Pool == y.Pool && x.Tenant < y.Tenant:
-		return -1
-	case x.Pool == y.Pool && x.Tenant == y.Tenant:
-		return 0
-	}
-	return 1
-}
--- a/internal/quota/allowances.go
+++ b/internal/quota/allowances.go
@@ -1,10 +1,13 @@
 package quota
 
 import (
+	"cmp"
 	"maps"
 	"slices"
+	"strconv"
 	"strings"
 
+	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/toucanhatch/toucanhatch/internal/work"
@@ -12,10 +15,11 @@
 )
 
 // The keys of the stored records. No job has such a key. The values are CBOR arrays, which a program that doesn't know these
-// keys can't take for the record of a job.
+// keys can't take for the record of a job. Each limit has a record of its own: a pool has limits of all tenants, of which
+// few change at a time.
 const (
 	numbersKey = "~caps"
-	keyPrefix  = "~caps/" // precedes a pool's id
+	keyPrefix  = "~caps/" // precedes the length of a pool's id, the id, and the tenant
 )
 
 // Record is a stored record of [Allowances].
@@ -30,10 +34,29 @@
 	Numbers [Slots]Number
 }
 
-// limitsRecord holds the limits of one pool.
-type limitsRecord struct {
-	_      struct{} `cbor:",toarray"`
-	Limits map[work.TenantID]Limit
+// limitKey names a limit.
+type limitKey struct {
+	pool   ident.PoolID
+	tenant work.TenantID
+}
+
+func (k limitKey) compare(o limitKey) int {
+	return cmp.Or(cmp.Compare(k.pool, o.pool), cmp.Compare(k.tenant, o.tenant))
+}
+
+// recordKey returns the key of the record of a limit. The ids may contain any character.
+func (k limitKey) recordKey() string {
+	return keyPrefix + strconv.Itoa(len(k.pool)) + "/" + string(k.pool) + "/" + string(k.tenant)
+}
+
+// parseLimitKey reads a key that limitKey.recordKey has made.
+func parseLimitKey(key string) (limitKey, error) {
+	length, rest, _ := strings.Cut(strings.TrimPrefix(key, keyPrefix), "/")
+	n, err := strconv.Atoi(length)
+	if err != nil || n < 0 || n >= len(rest) || rest[n] != '/' {
+		return limitKey{}, errors.Newf("malformed key %q", key)
+	}
+	return limitKey{ident.PoolID(rest[:n]), work.TenantID(rest[n+1:])}, nil
 }
 
 // Allowances are the limits of the pools of one partition. The zero value has none. It is not safe for concurrent use.
@@ -41,8 +64,8 @@
 	accepted [Slots]Number
 	durable  [Slots]Number
 	limits   map[ident.PoolID]map[work.TenantID]Limit
-	changed  map[ident.PoolID]bool // since the last write began
-	renumber bool                  // accepted has changed since then
+	changed  map[limitKey]bool // since the last write began
+	renumber bool              // accepted has changed since then
 
 	// The safeguards that a test switches off to show that it finds a violation without them.
 	withoutDurability, withoutOrder bool
@@ -81,13 +104,13 @@
 // set sets a limit, and reports whether that changes it.
 func (a *Allowances) set(c Change) bool {
 	if a.limits == nil {
-		a.limits, a.changed = map[ident.PoolID]map[work.TenantID]Limit{}, map[ident.PoolID]bool{}
+		a.limits, a.changed = map[ident.PoolID]map[work.TenantID]Limit{}, map[limitKey]bool{}
 	}
 	of := a.limits[c.Pool]
 	if of[c.Tenant] == c.Limit {
 		return false
 	}
-	a.changed[c.Pool] = true
+	a.changed[limitKey{c.Pool, c.Tenant}] = true
 	if c.Limit.Allowed == (work.Resources{}) { // the same as none
 		delete(of, c.Tenant)
 		return true
@@ -118,7 +141,7 @@
 type Write struct {
 	Records []Record
 	numbers [Slots]Number
-	pools   []ident.PoolID
+	limits  []limitKey
 }
 
 // BeginWrite returns what has changed since the last call; nil if nothing has. The record of the numbers is the last one: if
@@ -127,13 +150,16 @@
 	if !a.renumber && len(a.changed) == 0 {
 		return nil, nil
 	}
-	w := &Write{numbers: a.accepted, pools: slices.Sorted(maps.Keys(a.changed))}
-	for _, pool := range w.pools {
-		value, err := cbor.Marshal(limitsRecord{Limits: a.limits[pool]})
-		if err != nil {
-			return nil, err
+	w := &Write{numbers: a.accepted, limits: slices.SortedFunc(maps.Keys(a.changed), limitKey.compare)}
+	for _, key := range w.limits {
+		r := Record{Key: key.recordKey()}
+		if l, has := a.limits[key.pool][key.tenant]; has { // else the record is removed
+			var err error
+			if r.Value, err = cbor.Marshal(l); err != nil {
+				return nil, err
+			}
 		}
-		w.Records = append(w.Records, Record{keyPrefix + string(pool), value})
+		w.Records = append(w.Records, r)
 	}
 	value, err := cbor.Marshal(numbersRecord{Numbers: a.accepted})
 	if err != nil {
@@ -150,8 +176,8 @@
 
 // RetryWrite marks the changes of a failed write for the next one.
 func (a *Allowances) RetryWrite(w *Write) {
-	for _, pool := range w.pools {
-		a.changed[pool] = true
+	for _, key := range w.limits {
+		a.changed[key] = true
 	}
 	a.renumber = true
 }
@@ -169,13 +195,15 @@
 		a.accepted, a.durable = n.Numbers, n.Numbers
 		return nil
 	}
-	var l limitsRecord
-	if err := cbor.Unmarshal(r.Value, &l); err != nil {
+	key, err := parseLimitKey(r.Key)
+	if err != nil {
 		return err
 	}
-	for tenant, limit := range l.Limits {
-		a.set(Change{Pool: ident.PoolID(strings.TrimPrefix(r.Key, keyPrefix)), Tenant: tenant, Limit: limit})
+	var l Limit
+	if err := cbor.Unmarshal(r.Value, &l); err != nil {
+		return err
 	}
+	a.set(Change{Pool: key.pool, Tenant: key.tenant, Limit: l})
 	clear(a.changed)
 	return nil
 }
@@ -186,5 +214,5 @@
 	if u.Next != (work.Resources{}) || u.Wanted != (work.Resources{}) || !amountOf(u.Held).within(amountOf(effective.Allowed), amountOf(c)) {
 		return true
 	}
-	return (g.Full || slices.Contains(g.Tenants, t)) && (u.Held != (work.Resources{}) || stored.Version > 0)
+	return (g.Full || slices.Contains(g.Tenants, t)) && (u.Held != (work.Resources{}) || stored.Allowed != (work.Resources{}))
 }
--- a/internal/quota/demand_test.go
+++ b/internal/quota/demand_test.go
@@ -43,6 +43,7 @@
 	alloc  *Allocator
 	epoch  int64
 	pools  []*demandPool
+	bytes  int                                         // of records
 	grants int                                         // with changes
 	waits  func(now time.Duration, pool int) (n int64) // waiting amount, beside the next task
 }
@@ -90,6 +91,9 @@
 		if p.written == nil {
 			if p.written, _ = p.ledger.BeginWrite(); p.written != nil {
 				p.doneAt = d.now + demandWrite
+				for _, r := range p.written.Records {
+					d.bytes += len(r.Key) + len(r.Value)
+				}
 			}
 		}
 		for left := d.waits(d.now, n); left > 0; {
@@ -180,7 +184,15 @@
 		}
 	}
 	share := float64(used) / float64(ticks) / demandCap
-	t.Logf("%.3f of the cap used, %d grants with changes", share, d.grants)
+	starts := 0
+	for _, p := range d.pools {
+		starts += p.starts
+	}
+	t.Logf("%.3f of the cap used, %d grants with changes, %d bytes of records, %d starts", share, d.grants, d.bytes, starts)
+	const bytesPerTask = 50 // far less than the records of its job take
+	if d.bytes*10 > starts*bytesPerTask {
+		t.Errorf("%d bytes of records for %d starts, want at most a tenth of %d each", d.bytes, starts, bytesPerTask)
+	}
 	if share < least {
 		t.Errorf("%.3f of the cap used, want at least %v", share, least)
 	}
--- a/internal/quota/divide.go
+++ b/internal/quota/divide.go
@@ -100,6 +100,9 @@
 	exceeding := false
 	for _, pool := range slices.Sorted(maps.Keys(t.cells)) {
 		c := t.cells[pool]
+		if base == (amount{}) && c.idle() {
+			continue // of hundreds of pools, a tenant uses few at a time
+		}
 		d.cells = append(d.cells, c)
 		if a.withoutSilent && !c.part.live() {
 			continue
@@ -121,6 +124,12 @@
 	return d
 }
 
+// idle reports whether the cell may hold nothing and waits for nothing.
+func (c *cell) idle() bool {
+	u := &c.usage
+	return c.count() == (amount{}) && u.Next == (work.Resources{}) && u.Waiting == (work.Resources{}) && u.Wanted == (work.Resources{})
+}
+
 // overcommitted reports whether a pool holds so much beyond its limit that the limits of the others may raise the total above
 // the cap. That can be after the tenant had no cap for a while: then all limits are revoked.
 func (d *division) overcommitted() bool {
--- a/internal/quota/sim_test.go
+++ b/internal/quota/sim_test.go
@@ -243,7 +243,9 @@
 	x.applied = true
 	if x.caps != nil {
 		for _, r := range x.caps.Records {
-			l.records[r.Key] = r.Value
+			if l.records[r.Key] = r.Value; len(r.Value) == 0 {
+				delete(l.records, r.Key)
+			}
 		}
 	}
 	for _, r := range x.starts {
