quota: the simulation has two resources, and owners plan their own pools only

Cause: decisions by resource were simulated with one resource. With two, the simulation itself let an owner start tasks in a pool of another partition, which the allocator then did not count. Change: CPU and memory in the simulation, versions with and without a cap on memory; owners plan pools of their partition.

--- a/internal/quota/sim_test.go
+++ b/internal/quota/sim_test.go
@@ -57,7 +57,7 @@
 
 type simRun struct {
 	pool       ident.PoolID
-	need       int64
+	need       work.Resources
 	minVersion int64 // lowest version in force when it was planned
 	ended      bool
 	silent     bool // its target doesn't answer
@@ -86,7 +86,7 @@
 	ends      []*simRun
 	write     *simWrite
 	dead      bool
-	wants     map[ident.PoolID]int64 // need of the task that waits
+	wants     map[ident.PoolID]work.Resources // need of the task that waits
 }
 
 type simWrite struct {
@@ -128,8 +128,18 @@
 
 func (w *world) newestVersion() int64 { return int64(len(w.caps)) }
 
+// capOf returns the cap of a version. It limits CPU, and memory by the same amount in every other version.
+func (w *world) capOf(version int64) work.Resources {
+	c := w.caps[version-1]
+	out := work.Resources{CPU: work.Millicores(c)}
+	if version%2 == 1 {
+		out.Memory = work.Mebibytes(c)
+	}
+	return out
+}
+
 func (w *world) tenantsOf(version int64) []Tenant {
-	return []Tenant{{simTenant, work.Resources{CPU: work.Millicores(w.caps[version-1])}}}
+	return []Tenant{{simTenant, w.capOf(version)}}
 }
 
 // someVersion returns the version of a process that takes part from now on. It is in force until all have a newer one.
@@ -149,7 +159,7 @@
 func (w *world) takeOver(p int) {
 	l := w.logs[p]
 	l.epoch++
-	o := &simOwner{partition: p, epoch: l.epoch, version: w.someVersion(), runs: &runSet{}, wants: map[ident.PoolID]int64{}}
+	o := &simOwner{partition: p, epoch: l.epoch, version: w.someVersion(), runs: &runSet{}, wants: map[ident.PoolID]work.Resources{}}
 	o.ledger.withoutDurability, o.ledger.withoutOrder = w.off.withoutDurability, w.off.withoutOrder
 	for key, value := range l.records {
 		if err := o.ledger.Restore(Record{key, value}); err != nil {
@@ -180,14 +190,14 @@
 }
 
 func (o *simOwner) view(w *world) View {
-	return View{Configured: true, Known: true, Version: o.version, Cap: work.Resources{CPU: work.Millicores(w.caps[o.version-1])}}
+	return View{Configured: true, Known: true, Version: o.version, Cap: w.capOf(o.version)}
 }
 
 func (o *simOwner) held(pool ident.PoolID) work.Resources {
 	var sum work.Resources
 	for _, r := range o.runs.list {
 		if r.pool == pool {
-			sum.CPU += work.Millicores(r.need)
+			sum = sum.Plus(r.need)
 		}
 	}
 	return sum
@@ -198,20 +208,21 @@
 	if o.dead {
 		return
 	}
-	if o.wants[pool] == 0 {
-		o.wants[pool] = 1 + int64(w.draw(6))
+	if o.wants[pool] == (work.Resources{}) {
+		need := work.Resources{CPU: work.Millicores(1 + w.draw(6)), Memory: work.Mebibytes(1 + w.draw(6))}
 		if w.draw(20) == 0 {
-			o.wants[pool] = 40 // above the cap
+			need.CPU = 40 // above the cap
 		}
+		o.wants[pool] = need
 	}
-	need := work.Resources{CPU: work.Millicores(o.wants[pool])}
+	need := o.wants[pool]
 	c, limit := o.view(w).Effective(o.ledger.Of(pool)[simTenant])
 	if !limit.Allows(o.held(pool), need, need, c) {
 		return
 	}
-	r := &simRun{pool: pool, need: o.wants[pool], minVersion: w.minVersion()}
+	r := &simRun{pool: pool, need: need, minVersion: w.minVersion()}
 	o.runs.add(r)
-	o.wants[pool] = 0
+	o.wants[pool] = work.Resources{}
 	o.starts = append(o.starts, r)
 }
 
@@ -271,23 +282,25 @@
 // checkStart checks the rule for a start that has become durable.
 func (w *world) checkStart(r *simRun) {
 	w.starts++
-	bound := int64(0)
-	for _, c := range w.caps[r.minVersion-1:] {
-		if bound = max(bound, c); c == 0 {
-			return // a version without a cap may be in force
-		}
-	}
-	total := int64(0)
+	var total work.Resources
 	for _, x := range w.running.list {
-		total += x.need
-	}
-	if r.need > bound {
-		w.above++
-	}
-	if total <= bound || r.need > bound && total-r.need <= bound {
-		return
+		total = total.Plus(x.need)
+	}
+	held, need := amountOf(total), amountOf(r.need)
+	for d := range kinds {
+		bound, unlimited := int64(0), false
+		for version := r.minVersion; version <= w.newestVersion(); version++ {
+			c := amountOf(w.capOf(version))[d]
+			bound, unlimited = max(bound, c), unlimited || c == 0 // each version may be in force
+		}
+		switch {
+		case unlimited:
+		case need[d] > bound && held[d]-need[d] <= bound:
+			w.above++
+		case held[d] > bound:
+			w.fault = fmt.Sprintf("start of %d in %s: %d held in total, cap %d (resource %d)", need[d], r.pool, held[d], bound, d)
+		}
 	}
-	w.fault = fmt.Sprintf("start of %d in %s: %d held in total, cap %d", r.need, r.pool, total, bound)
 }
 
 func (w *world) endTask() {
@@ -364,8 +377,8 @@
 		stored := o.ledger.Of(p.ID)[simTenant]
 		u := Usage{Held: o.held(p.ID)}
 		c, limit := o.view(w).Effective(stored)
-		if need := o.wants[p.ID]; need > 0 {
-			u.Next.CPU, u.Member.CPU, u.Waiting.CPU = work.Millicores(need), work.Millicores(need), work.Millicores(need+12)
+		if need := o.wants[p.ID]; need != (work.Resources{}) {
+			u.Next, u.Member, u.Waiting = need, need, need.Plus(work.Resources{CPU: 12, Memory: 12})
 		}
 		if g.Reports(simTenant, stored, limit, &u, c) {
 			r.Entries = append(r.Entries, Entry{Pool: p.ID, Tenant: simTenant, Usage: u, Limit: stored})
@@ -389,7 +402,9 @@
 	case 2:
 		w.tick(w.allocs[w.draw(len(w.allocs))])
 	case 3:
-		w.plan(former, w.pools[w.draw(len(w.pools))].ID)
+		if p := w.pools[w.draw(len(w.pools))]; p.Partition == former.partition {
+			w.plan(former, p.ID)
+		}
 		w.beginWrite(former)
 	case 4:
 		w.apply(former)
