--- a/internal/jobs/shares_test.go
+++ b/internal/jobs/shares_test.go
@@ -431,9 +431,8 @@
 	step := work.Step{Count: 16, Need: work.Resources{CPU: 1000, Memory: 100}, Estimate: time.Second}
 	var last Event
 	h.pool.Events = func(e Event) { last = e }
-	submit := func(i int) Event {
+	submit := func(i int) {
 		h.pool.Submit(h.now, work.JobID(fmt.Sprintf("%016x", i)), testQueue, &work.Spec{Tenant: "a", Steps: []work.Step{step}})
-		return last
 	}
 	n := 0
 	for ; n < 20 && last.Kind != EventRefused; n++ {
