--- a/internal/admit/admit.go
+++ b/internal/admit/admit.go
@@ -22,9 +22,6 @@
 	Ahead time.Duration
 	// Share is the tenant's weight as a fraction of the weights of all tenants that have work in the pool, itself included.
 	Share float64
-	// CapCores is the number of cores that the tenant's cap leaves it in this pool; 0 if no cap limits them. It is what the
-	// tenant can get, not what the pool may use for it at the moment.
-	CapCores float64
 }
 
 // Demand describes a new job.
@@ -80,11 +77,6 @@
 	if d.Service || d.Scheduled {
 		return Decision{Admit: true}
 	}
-	if l.Tenant != nil && l.Tenant.CapCores > 0 {
-		if wait, excess := d.excess(l.Tenant.Backlog, l.Tenant.CapCores); excess > 0 {
-			return refuse("behind its tenant's backlog, the job would complete too late within the tenant's cap", LimitCap, wait, excess)
-		}
-	}
 	if l.CapacityUnknown {
 		return Decision{Admit: true, Reason: "the capacity that the pool can get is not known"}
 	}
--- a/internal/jobs/bench_test.go
+++ b/internal/jobs/bench_test.go
@@ -123,7 +123,7 @@
 			for i := range tenants {
 				configured = append(configured, work.Tenant{ID: tenantName(i), Weight: zipfWeight(i)})
 			}
-			p.SetTenants(configured)
+			p.SetTenants(1, configured)
 			for i := range 4000 {
 				spec := work.Spec{Tenant: tenantName(i % 120), Steps: []work.Step{smallStep, smallStep}}
 				p.Restore(now, &Record{ID: work.JobID(fmt.Sprintf("%016x", i)), Queue: testQueue, Pool: "pool", Accepted: now, Spec: spec})
--- a/internal/jobs/lookahead.go
+++ b/internal/jobs/lookahead.go
@@ -182,8 +182,16 @@
 	}
 }
 
-// readyTasks returns how many tasks of a step only wait for a target; a task on trial or after a failure doesn't.
+// readyTasks returns how many tasks of a step only wait for a target; a task on trial or after a failure doesn't, nor one that
+// its tenant's cap holds back.
 func (p *Pool) readyTasks(now time.Time, j *job, spec *work.Step, st *stepState) int {
+	together := 1
+	if spec.Gang {
+		together = spec.Count
+	}
+	if p.exceedsCap(j, spec, together) {
+		return 0
+	}
 	n := 0
 	for i := range st.tasks {
 		t := &st.tasks[i]
--- a/internal/jobs/lookahead_test.go
+++ b/internal/jobs/lookahead_test.go
@@ -120,6 +120,10 @@
 				j.occurrences[0].steps[0].tasks[0].crashes.Add(blame.Crash{Sole: true, Confirmed: true})
 			}
 		}},
+		{name: "a task that its tenant's cap holds back", step: largeStep, change: func(h *harness, j *job) {
+			j.tenant = "a"
+			h.pool.SetTenants(1, []work.Tenant{{ID: "a", Cap: work.Resources{CPU: 1}}})
+		}},
 		{name: "a task after a failure", step: largeStep, change: func(h *harness, j *job) {
 			j.occurrences[0].steps[0].tasks[0].notBefore = h.now.Add(time.Second)
 		}},
--- a/internal/jobs/pool.go
+++ b/internal/jobs/pool.go
@@ -23,8 +23,6 @@
 	// OwnedSince is when the owner took over the pool. Until its targets have had time to report, no job is refused
 	// because of the load.
 	OwnedSince time.Time
-	// TenantCores, if not nil, returns the cores that a tenant's cap leaves it in this pool; 0 if no cap limits them.
-	TenantCores func(work.TenantID) float64
 
 	wallOffset     time.Duration
 	queues         map[work.QueueID]work.Queue
@@ -56,6 +54,7 @@
 	ahead             *lookAhead      // nil until the first round of planning with reservations
 	directed          bool            // the fleet controller sends directives, so that reserve is up to date
 	shares            shares
+	caps              capState
 }
 
 // Bounds are the properties of the platform that the pool relies on.
@@ -94,13 +93,17 @@
 	}
 }
 
-// SetTenants replaces the configuration of the tenants. A removed tenant keeps its last configuration for the jobs that it
-// still has.
-func (p *Pool) SetTenants(tenants []work.Tenant) {
+// SetTenants sets the tenants of a version of the configuration. A removed tenant keeps its last configuration for the jobs
+// that it still has.
+func (p *Pool) SetTenants(version int64, tenants []work.Tenant) {
+	if version == p.caps.version {
+		return
+	}
 	for _, t := range tenants {
 		p.tenants[t.ID] = t
 	}
 	p.setWeights(tenants)
+	p.setCaps(version, tenants)
 }
 
 // addUnknownQueue stores the configuration of a queue that SetQueues has not set.
@@ -122,10 +125,10 @@
 func (p *Pool) Submit(now time.Time, id work.JobID, queue work.Queue, spec *work.Spec) SubmitResult {
 	p.addUnknownQueue(queue)
 	demand := p.demand(queue, spec)
-	first := p.arrivals.add(now, id, demand)
+	first := p.addArrival(now, id, spec, demand)
 	demand.Elapsed = now.Sub(first)
 	load := p.load(now, spec.Tenant, demand)
-	decision := admit.Decide(load, demand)
+	decision := p.decideByCap(queue.ID, spec, demand, admit.Decide(load, demand))
 	if !decision.Admit {
 		p.emit(refusedEvent(id, queue.ID, spec.Tenant, load, decision))
 		return SubmitResult{Refused: true, RetryAfter: decision.RetryAfter}
@@ -143,7 +146,7 @@
 // objective counts from this submission.
 func (p *Pool) NoteArrival(now time.Time, id work.JobID, queue work.Queue, spec *work.Spec) {
 	p.addUnknownQueue(queue)
-	p.arrivals.add(now, id, p.demand(queue, spec))
+	p.addArrival(now, id, spec, p.demand(queue, spec))
 }
 
 // Known reports whether the pool has a job with this id, stored or about to be stored.
@@ -230,6 +233,7 @@
 // Restore adds a job from its records. Call it before the first event.
 func (p *Pool) Restore(now time.Time, r *Record, segments ...*SegmentRecord) {
 	p.addUnknownQueue(r.Queue)
+	p.restoreCap(r)
 	j := restoreJob(p, now, r, segments)
 	p.addJob(now, j)
 	p.arrivals.restore(p.wallTime(now).Sub(r.Accepted), now, r.ID, p.demand(r.Queue, &r.Spec))
--- a/internal/jobs/shares.go
+++ b/internal/jobs/shares.go
@@ -134,9 +134,6 @@
 	if l.weights > 0 {
 		l.load.Share = l.own.weight / l.weights
 	}
-	if l.pool.TenantCores != nil {
-		l.load.CapCores = l.pool.TenantCores(l.own.id)
-	}
 	return &l.load
 }
 
