--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -77,6 +77,7 @@
 	mu       sync.Mutex
 	counts   map[event]int // since shedding began
 	quietEnd *time.Timer   // nil while nothing is shed
+	lastNote time.Time     // of the last event
 }
 
 // New returns a guard with limits, all of which must be set.
@@ -92,6 +93,7 @@
 	shed.Add(string(e)+"."+string(kind), 1)
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.lastNote = time.Now()
 	if g.quietEnd != nil {
 		g.counts[e]++
 		g.quietEnd.Reset(g.quiet)
@@ -103,8 +105,13 @@
 		"limit_clients", g.limits.Clients, "limit_peers", g.limits.Peers, "limit_others", g.limits.Others)
 }
 
+// noteQuiet logs that shedding has ended. The timer may fire while an event is noted, and then fires again.
 func (g *Guard) noteQuiet() {
 	g.mu.Lock()
+	if g.quietEnd == nil || time.Since(g.lastNote) < g.quiet {
+		g.mu.Unlock()
+		return
+	}
 	counts := g.counts
 	g.counts, g.quietEnd = nil, nil
 	g.mu.Unlock()
@@ -158,10 +165,14 @@
 	}
 	switch s {
 	case http.StateActive:
+		x.headerArrived()
 		x.entry.Set(intake.Busy, time.Now())
 	case http.StateIdle:
+		x.nextHeader()
 		x.entry.Set(intake.Idle, time.Now())
-	case http.StateNew, http.StateHijacked, http.StateClosed:
+	case http.StateHijacked:
+		x.releaseHeader()
+	case http.StateNew, http.StateClosed:
 	}
 }
 
@@ -207,7 +218,7 @@
 		if err != nil {
 			return nil, err
 		}
-		x := &conn{Conn: c, kind: l.kind}
+		x := &conn{Conn: c, guard: l.guard, kind: l.kind}
 		x.entry = l.conns.Open(func() {
 			l.guard.note(connShed, l.kind)
 			_ = c.Close() // the server then closes x
@@ -226,9 +237,11 @@
 // conn is a connection of a guarded listener.
 type conn struct {
 	net.Conn
-	kind  Kind
-	entry *intake.Conn
-	once  sync.Once
+	guard  *Guard
+	kind   Kind
+	entry  *intake.Conn
+	header header
+	once   sync.Once
 }
 
 // Close implements net.Conn.
@@ -237,6 +250,7 @@
 		c.entry.Closed()
 		connections.Add(string(c.kind), -1)
 	})
+	c.releaseHeader()
 	return c.Conn.Close()
 }
 
--- a/internal/jobs/pool.go
+++ b/internal/jobs/pool.go
@@ -102,7 +102,7 @@
 	for _, t := range tenants {
 		p.tenants[t.ID] = t
 	}
-	p.setWeights()
+	p.setWeights(tenants)
 	p.setCaps(version, tenants)
 }
 
