sizer: VMs are divided between tenants where all pools are short

Cause: with more need than VMs, only pools with some to spare gave any. A pool with the backlog of one heavy tenant kept all VMs, and the pool whose turn began had 15 VMs of 132 to 295 that it needed for three seconds.

Change: where the needs of the pools exceed all VMs and the deployment has tenants, what goes beyond the least needs is divided by weighted max-min fairness between the tenants, and within a tenant by its demand.

--- a/internal/jobs/report.go
+++ b/internal/jobs/report.go
@@ -116,6 +116,7 @@
 	out := sizer.Pool{
 		ID: p.ID, ArrivalRate: work.Millicores(1000 * max(p.arrivals.fast, p.arrivals.slow)), ForecastRate: work.Millicores(1000 * p.arrivals.forecast()),
 	}
+	demands := p.newTenantDemands()
 	for _, t := range p.sortedTargets() {
 		p.Cordon(t.ID, d.Cordons[t.ID])
 		if !t.registered {
@@ -145,6 +146,7 @@
 				out.Service = out.Service.Plus(reservation(r.spec))
 			} else {
 				out.Running = out.Running.Plus(reservation(r.spec))
+				demands.add(r.job, reservation(r.spec).CPU)
 			}
 		}
 		out.Targets = append(out.Targets, s)
@@ -159,6 +161,7 @@
 				}
 				startable := p.startable(rooms, j, spec, st.waiting)
 				out.Runnable = out.Runnable.Plus(reservation(spec).Times(startable))
+				demands.add(j, reservation(spec).Times(startable).CPU)
 				if spec.MaxPerTarget > 0 {
 					left := st.tasksLeft - st.waiting + startable
 					out.MinTargets = max(out.MinTargets, (left+spec.MaxPerTarget-1)/spec.MaxPerTarget)
@@ -166,6 +169,7 @@
 			}
 		}
 	}
+	out.Tenants = demands.sorted(p)
 	return out
 }
 
--- a/internal/jobs/shares.go
+++ b/internal/jobs/shares.go
@@ -1,10 +1,13 @@
 package jobs
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/toucanhatch/toucanhatch/internal/admit"
 	"github.com/toucanhatch/toucanhatch/internal/rank"
+	"github.com/toucanhatch/toucanhatch/internal/sizer"
 	"github.com/toucanhatch/toucanhatch/internal/work"
 )
 
@@ -141,3 +144,29 @@
 	}
 	return e
 }
+
+// tenantDemands adds up the CPU of tasks by tenant; nil if the deployment has no tenants.
+type tenantDemands map[work.TenantID]work.Millicores
+
+func (p *Pool) newTenantDemands() tenantDemands {
+	if !p.hasTenants() {
+		return nil
+	}
+	return tenantDemands{}
+}
+
+// add adds the CPU of tasks of a job, which is nil for runs whose job is unknown.
+func (d tenantDemands) add(j *job, cpu work.Millicores) {
+	if d != nil && j != nil && cpu > 0 {
+		d[j.tenant] += cpu
+	}
+}
+
+// sorted returns the demands ordered by tenant.
+func (d tenantDemands) sorted(p *Pool) []sizer.TenantDemand {
+	var out []sizer.TenantDemand
+	for _, id := range slices.Sorted(maps.Keys(d)) {
+		out = append(out, sizer.TenantDemand{ID: id, Weight: p.weight(id), CPU: d[id]})
+	}
+	return out
+}
--- a/internal/sizer/sizer.go
+++ b/internal/sizer/sizer.go
@@ -23,6 +23,8 @@
 	Incoming work.Millicores `cbor:"8,keyasint,omitempty"`
 	// MinTargets is the number of targets needed to place any step within its limit of tasks per target.
 	MinTargets int `cbor:"9,keyasint,omitempty"`
+	// Tenants divides Running and Runnable by tenant, ordered by id; nil if the deployment has no tenants.
+	Tenants []TenantDemand `cbor:"11,keyasint,omitempty"`
 }
 
 // Target is the state of one VM of a pool.
@@ -82,6 +84,12 @@
 	return n + spareVMs
 }
 
+// baseVMs returns the number of VMs that a pool needs without tasks that end by themselves.
+func baseVMs(p *Pool, capacity work.Resources) int {
+	n := max(p.MinTargets, ceilDiv(int64(p.Service.CPU), int64(capacity.CPU)), ceilDiv(int64(p.Service.Memory), int64(capacity.Memory)))
+	return n + spareVMs
+}
+
 // ceilDiv returns a/b, rounded up; 0 if b is not positive.
 func ceilDiv(a, b int64) int {
 	if b <= 0 {
@@ -117,6 +125,7 @@
 type poolState struct {
 	*Pool
 	need      int
+	base      int // needed without tasks that end by themselves
 	have      int
 	idle      []Target // may be moved now
 	drainable []Target // may be moved once their tasks have ended
@@ -132,7 +141,7 @@
 	for i := range pools {
 		p := &poolState{Pool: &pools[i], zones: map[ident.ZoneID]int{}}
 		if !p.PoweredOff {
-			p.need = neededVMs(p.Pool, capacity)
+			p.need, p.base = neededVMs(p.Pool, capacity), baseVMs(p.Pool, capacity)
 		}
 		if capacity.CPU > 0 {
 			p.have = int(p.Incoming / capacity.CPU)
@@ -158,6 +167,7 @@
 		}
 		s.pools = append(s.pools, p)
 	}
+	s.divideFairly()
 	return s
 }
 
