quota: versions that keep a tenant's cap don't delay raises

Limits were raised only while every partition planned by exactly the allocator's version of the configuration. One owner that lags by a version while versions follow each other, or that doesn't answer after a version, kept the limits of all tenants from being raised in all pools.

A partition may now have an earlier version, if the tenant's cap is the same in all versions seen since. If it doesn't answer, none may be missing between them, since it may have any of these by now.

The simulation now publishes versions with an unchanged cap, up to six per play.

--- a/internal/quota/allocator.go
+++ b/internal/quota/allocator.go
@@ -17,6 +17,9 @@
 // arrive would keep its amount from the others.
 const silentRounds = 3
 
+// historyVersions is how many versions of the configuration are remembered: those that come into force within a few seconds.
+const historyVersions = 32
+
 // Tenant is a tenant with a cap.
 type Tenant struct {
 	ID  work.TenantID
@@ -36,7 +39,8 @@
 	Epoch      int64 // above that of all former allocators of the slot
 	Partitions int
 
-	version  int64 // of the configuration
+	version  int64           // of the configuration
+	history  []configVersion // the newest last, which is the one in force
 	pools    []Pool
 	parts    []*part
 	tenants  map[work.TenantID]*tenant
@@ -53,6 +57,12 @@
 	withoutVersions, withoutExcess bool
 }
 
+// configVersion holds the caps of the slot's tenants in a version of the configuration.
+type configVersion struct {
+	version int64
+	caps    map[work.TenantID]work.Resources
+}
+
 // part is what the allocator knows of a partition.
 type part struct {
 	seq      uint64 // of the newest grant
@@ -134,6 +144,7 @@
 		return
 	}
 	a.version, a.pools = version, pools
+	caps := map[work.TenantID]work.Resources{}
 	for _, t := range a.tenants {
 		t.configured = false
 	}
@@ -143,7 +154,10 @@
 		}
 		t := a.tenant(tenants[i].ID)
 		t.cap, t.version, t.configured = tenants[i].Cap, version, true
+		caps[t.id] = t.cap
 	}
+	a.history = append(a.history, configVersion{version, caps})
+	a.history = a.history[max(0, len(a.history)-historyVersions):]
 }
 
 func (a *Allocator) tenant(id work.TenantID) *tenant {
@@ -225,8 +239,7 @@
 	return nil
 }
 
-// Ready reports whether all partitions have told their limits, by the configuration in force. Until then no limit is raised: a
-// partition that has another version may let a tenant hold what its reports don't show.
+// Ready reports whether all partitions have told their limits, by the configuration in force.
 func (a *Allocator) Ready() bool {
 	for _, p := range a.parts {
 		if !p.known && !a.withoutSilent || p.version != a.version && !a.withoutVersions && !a.withoutSilent {
@@ -236,6 +249,41 @@
 	return a.version > 0
 }
 
+// mayRaise reports whether limits of a tenant may be raised: all partitions have told their limits, and plan by the tenant's
+// cap. By another one, they may let it hold what their reports don't show.
+func (a *Allocator) mayRaise(t *tenant) bool {
+	for _, p := range a.parts {
+		if !p.known && !a.withoutSilent || !a.plansByCap(p, t) && !a.withoutVersions && !a.withoutSilent {
+			return false
+		}
+	}
+	return a.version > 0 && !a.withheld
+}
+
+// plansByCap reports whether a partition plans by the cap of a tenant that is in force: by the same version, or by one since
+// which the cap has not changed. A partition that doesn't answer may have any version since its last report, so all of them
+// must be known then.
+func (a *Allocator) plansByCap(p *part, t *tenant) bool {
+	if p.version == a.version {
+		return true
+	}
+	if !t.configured {
+		return false
+	}
+	next := a.version
+	for i := len(a.history) - 1; i >= 0; i-- {
+		h := &a.history[i]
+		if c, has := h.caps[t.id]; !has || c != t.cap || h.version < next-1 && !p.live() {
+			return false
+		}
+		if h.version == p.version {
+			return true
+		}
+		next = h.version
+	}
+	return false
+}
+
 // Withhold makes the allocator raise no limit, because the configuration may not be the newest.
 func (a *Allocator) Withhold(on bool) { a.withheld = on }
 
@@ -244,10 +292,9 @@
 	a.rounds++
 	a.raised, a.lowered = 0, 0
 	a.asked = a.asked[:0:0]
-	ready := a.Ready() && !a.withheld
 	for _, id := range slices.Sorted(maps.Keys(a.tenants)) {
 		if t := a.tenants[id]; Limits(t.cap) {
-			a.rebalance(t, ready)
+			a.rebalance(t)
 		}
 	}
 	for _, p := range a.parts {
--- a/internal/quota/demand_test.go
+++ b/internal/quota/demand_test.go
@@ -46,6 +46,9 @@
 	bytes  int                                         // of records
 	grants int                                         // with changes
 	waits  func(now time.Duration, pool int) (n int64) // waiting amount, beside the next task
+	// version returns the version by which a pool plans, answers whether it answers; nil: version 1, and all answer.
+	version func(pool int) int64
+	answers func(pool int) bool
 }
 
 const demandPools = 4
@@ -134,6 +137,9 @@
 		if len(g.Changes) > 0 {
 			d.grants++
 		}
+		if d.answers != nil && !d.answers(n) {
+			continue
+		}
 		p.ledger.Accept(&g)
 		stored := p.ledger.Of(p.id)[simTenant]
 		c, limit := d.view().Effective(stored)
@@ -142,6 +148,9 @@
 			u.Next.CPU, u.Member.CPU, u.Waiting.CPU = work.Millicores(p.next), work.Millicores(p.next), work.Millicores(left)
 		}
 		r := Report{Round: g.Round, Stored: p.ledger.Stored(0), Full: g.Full, Version: 1}
+		if d.version != nil {
+			r.Version = d.version(n)
+		}
 		if g.Reports(simTenant, stored, limit, &u, c) {
 			r.Entries = append(r.Entries, Entry{p.id, simTenant, u, stored})
 		}
--- a/internal/quota/divide.go
+++ b/internal/quota/divide.go
@@ -32,8 +32,8 @@
 }
 
 // rebalance decides the limits of one tenant.
-func (a *Allocator) rebalance(t *tenant, ready bool) {
-	if a.stamp(t) || !ready {
+func (a *Allocator) rebalance(t *tenant) {
+	if a.stamp(t) || !a.mayRaise(t) {
 		return
 	}
 	base := a.baseOf(amountOf(t.cap))
--- a/internal/quota/sim_test.go
+++ b/internal/quota/sim_test.go
@@ -34,6 +34,7 @@
 	draw     func(n int) int
 	off      safeguards
 	caps     []int64 // by version - 1
+	cpuOnly  []bool  // whether the cap doesn't limit memory, by version - 1
 	pools    []Pool
 	logs     []*simLog
 	owners   []*simOwner // former ones too
@@ -111,7 +112,7 @@
 }
 
 func newWorld(draw func(int) int, off safeguards) *world {
-	w := &world{draw: draw, off: off, caps: []int64{24}, running: &runSet{}}
+	w := &world{draw: draw, off: off, caps: []int64{24}, cpuOnly: []bool{false}, running: &runSet{}}
 	if draw(3) == 0 {
 		w.caps[0] = 0 // the tenant gets a cap later
 	}
@@ -128,11 +129,21 @@
 
 func (w *world) newestVersion() int64 { return int64(len(w.caps)) }
 
-// capOf returns the cap of a version. It limits CPU, and memory by the same amount in every other version.
+// publish adds a version. One of three has the cap of the version before; the others limit memory in turn.
+func (w *world) publish() {
+	n := len(w.caps) - 1
+	c, cpuOnly := w.caps[n], w.cpuOnly[n]
+	if w.draw(3) > 0 {
+		c, cpuOnly = 8+int64(w.draw(32)), !cpuOnly
+	}
+	w.caps, w.cpuOnly = append(w.caps, c), append(w.cpuOnly, cpuOnly)
+}
+
+// capOf returns the cap of a version. It limits CPU, and memory by the same amount in some versions.
 func (w *world) capOf(version int64) work.Resources {
 	c := w.caps[version-1]
 	out := work.Resources{CPU: work.Millicores(c)}
-	if version%2 == 1 {
+	if !w.cpuOnly[version-1] {
 		out.Memory = work.Mebibytes(c)
 	}
 	return out
@@ -414,8 +425,8 @@
 		w.beginWrite(o)
 		w.apply(o) // the response is late
 	case 7:
-		if len(w.caps) < 4 && w.draw(6) == 0 {
-			w.caps = append(w.caps, 8+int64(w.draw(32)))
+		if len(w.caps) < 6 && w.draw(6) == 0 {
+			w.publish()
 		}
 	case 8:
 		o.version = max(o.version, 1+int64(w.draw(len(w.caps))))
--- /dev/null
+++ b/internal/quota/versions_test.go
@@ -0,0 +1,127 @@
+package quota
+
+import (
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/toucanhatch/toucanhatch/internal/work"
+)
+
+// configure puts a version of the configuration in force at the allocator.
+func (d *demand) configure(version int64, caps work.Resources, others ...Tenant) {
+	var pools []Pool
+	for n, p := range d.pools {
+		pools = append(pools, Pool{p.id, n})
+	}
+	d.alloc.Configure(version, append([]Tenant{{simTenant, caps}}, others...), pools)
+}
+
+// otherTenantIn returns a tenant of a slot that is not the given one.
+func otherTenantIn(s Slot, not work.TenantID) work.TenantID {
+	for n := 0; ; n++ {
+		if id := work.TenantID("other-" + strconv.Itoa(n)); SlotOf(id) == s && id != not {
+			return id
+		}
+	}
+}
+
+// Guards against a tenant that waits in one pool, far below its cap, while new versions of the configuration that don't
+// change its cap reach the owner of another pool late or not at all.
+func TestVersionsWithTheSameCapDontDelayRaises(t *testing.T) {
+	const (
+		period = 330 * time.Millisecond
+		until  = 4 * time.Second
+	)
+	for _, test := range []struct {
+		name   string
+		silent bool  // pool 3 doesn't answer
+		lag    int64 // of its version
+	}{{"lagging owner", false, 1}, {"silent owner", true, 0}} {
+		t.Run(test.name, func(t *testing.T) {
+			d := newDemand()
+			d.waits = func(_ time.Duration, pool int) int64 {
+				if pool == 0 {
+					return 5 * demandCap
+				}
+				return 0
+			}
+			for d.now < 2*time.Second {
+				d.tick()
+			}
+			begin := d.now
+			d.waits = func(_ time.Duration, pool int) int64 { // pool 0 has nothing to do any more
+				if pool == 1 {
+					return 5 * demandCap
+				}
+				return 0
+			}
+			d.version = func(pool int) int64 {
+				v := 1 + int64((d.now-begin)/period)
+				if pool == 3 {
+					return max(1, v-test.lag)
+				}
+				return v
+			}
+			d.answers = func(pool int) bool { return !test.silent || pool != 3 }
+			for d.now-begin < until {
+				v := d.version(0)
+				d.configure(v, work.Resources{CPU: demandCap}, Tenant{otherTenantIn(0, simTenant), work.Resources{CPU: work.Millicores(1000 * v)}})
+				d.tick()
+			}
+			if got := d.pools[1].held(); got < demandCap/2 {
+				t.Errorf("%d held in the only pool that waits, want at least half of %d", got, demandCap)
+			}
+		})
+	}
+}
+
+// Guards against raises while a partition plans by a version without the tenant's cap, or may do so: what it holds then is in
+// no report.
+func TestRaisesAwaitTheSameCap(t *testing.T) {
+	const caps = 1000
+	for _, test := range []struct {
+		name     string
+		versions []int64 // that the allocator has seen, with the caps below
+		caps     []work.Millicores
+		reported int64 // of the other partition
+		silent   bool
+		want     bool
+	}{
+		{"same version", []int64{3}, []work.Millicores{caps}, 3, false, true},
+		{"unchanged", []int64{3, 4}, []work.Millicores{caps, caps}, 3, false, true},
+		{"no cap before", []int64{3, 4}, []work.Millicores{0, caps}, 3, false, false},
+		{"no cap between", []int64{3, 4, 5}, []work.Millicores{caps, 0, caps}, 3, false, false},
+		{"unknown version", []int64{4}, []work.Millicores{caps}, 3, false, false},
+		{"newer version", []int64{3}, []work.Millicores{caps}, 4, false, false},
+		{"silent, all versions known", []int64{3, 4}, []work.Millicores{caps, caps}, 3, true, true},
+		{"silent, a version skipped", []int64{3, 5}, []work.Millicores{caps, caps}, 3, true, false},
+	} {
+		a := &Allocator{Epoch: 1, Partitions: 2}
+		a.Init()
+		pools := []Pool{{"p0", 0}, {"p1", 1}}
+		report := func(partition int, version int64) {
+			g := a.Request(partition)
+			r := Report{Round: g.Round, Stored: g.Number, Full: true, Version: version}
+			if partition == 0 {
+				r.Entries = []Entry{{Pool: "p0", Tenant: simTenant, Usage: Usage{Next: work.Resources{CPU: 500}, Member: work.Resources{CPU: 500}, Waiting: work.Resources{CPU: 500}}}}
+			}
+			if err := a.Handle(partition, &r); err != nil {
+				t.Fatal(err)
+			}
+		}
+		newest := test.versions[len(test.versions)-1]
+		for i, v := range test.versions {
+			a.Configure(v, []Tenant{{simTenant, work.Resources{CPU: test.caps[i]}}}, pools)
+		}
+		report(1, test.reported)
+		for test.silent && a.parts[1].live() {
+			a.Request(1)
+		}
+		report(0, newest)
+		a.Rebalance()
+		if raised, _ := a.Changed(); (raised > 0) != test.want {
+			t.Errorf("%s: raised %v, want %v", test.name, raised > 0, test.want)
+		}
+	}
+}
