quota: a partition without an owner counts as not answering

A partition whose owner is unknown was not asked, and so never counted as one that leaves requests unanswered. Its last report went on to decide: if its pool waited for a task above the cap, the whole cap was kept for that pool, and the tenant started nothing elsewhere until the partition had an owner.

Each round without an owner now counts as a request without an answer, so that the pool gets no raises after three of them. What it may hold still counts.

TestPoolWithoutOwnerDoesNotKeepTheCap: two of the three other pools started nothing in 3 s before; all start tasks now.

--- a/internal/jobd/caps.go
+++ b/internal/jobd/caps.go
@@ -178,6 +178,7 @@
 		addr := ""
 		if c.Service.Member.Owner(p) == nil {
 			if addr = c.Service.Owners.Address(p); addr == "" {
+				c.allocator.NoteUnasked(n)
 				continue
 			}
 		}
--- a/internal/quota/allocator.go
+++ b/internal/quota/allocator.go
@@ -197,6 +197,9 @@
 	return g
 }
 
+// NoteUnasked notes that a partition could not be asked, as it has no known owner. It counts as a request without an answer.
+func (a *Allocator) NoteUnasked(partition int) { a.parts[partition].round++ }
+
 // Handle handles the report of a partition. One that is older than another of the same partition, by its round or by what it
 // has stored, is ignored: it may come from a former owner.
 func (a *Allocator) Handle(partition int, r *Report) error {
--- a/internal/quota/demand_test.go
+++ b/internal/quota/demand_test.go
@@ -49,6 +49,7 @@
 	// version returns the version by which a pool plans, answers whether it answers; nil: version 1, and all answer.
 	version func(pool int) int64
 	answers func(pool int) bool
+	unowned func(pool int) bool // nil: all pools have owners
 }
 
 const demandPools = 4
@@ -133,6 +134,10 @@
 // exchange sends a request to each pool and handles the report.
 func (d *demand) exchange() {
 	for n, p := range d.pools {
+		if d.unowned != nil && d.unowned(n) {
+			d.alloc.NoteUnasked(n)
+			continue
+		}
 		g := d.alloc.Request(n)
 		if len(g.Changes) > 0 {
 			d.grants++
--- a/internal/quota/versions_test.go
+++ b/internal/quota/versions_test.go
@@ -125,3 +125,39 @@
 		}
 	}
 }
+
+// Guards against a tenant that starts nothing anywhere while the partition of a pool that waits for a task above the cap has
+// no owner: the whole cap would be kept for that pool.
+func TestPoolWithoutOwnerDoesNotKeepTheCap(t *testing.T) {
+	d := newDemand()
+	task := func(pool int, need int64) func(time.Duration, int) int64 {
+		return func(_ time.Duration, n int) int64 {
+			if n != pool || d.pools[n].starts > 0 {
+				return 0
+			}
+			d.pools[n].next = need
+			return need
+		}
+	}
+	for d.waits = task(1, demandCap*3/10); d.pools[1].starts == 0; {
+		d.tick()
+	}
+	d.pools[1].ends[0] = d.now + 2*time.Second
+	d.waits = task(0, demandCap*2)
+	for range 2 * demandPeriod / demandTick {
+		d.tick()
+	}
+	if d.pools[0].starts > 0 {
+		t.Fatal("the task above the cap has started, want it to wait for the other one to end")
+	}
+	d.unowned = func(pool int) bool { return pool == 0 }
+	d.waits = func(_ time.Duration, pool int) int64 { return int64(min(pool, 1)) * demandCap }
+	for begin := d.now; d.now-begin < 3*time.Second; {
+		d.tick()
+	}
+	for _, p := range d.pools[2:] {
+		if p.starts == 0 {
+			t.Errorf("pool %s started nothing in 3 s", p.id)
+		}
+	}
+}
