quota, jobd: an allocator that is a version behind raises limits

An allocator raised nothing while its process knew of a newer version, or while a partition planned by a version that the allocator had not seen. With versions in quick succession, the allocator of a slow process is behind nearly all of the time, and no tenant of its slot could start in a pool without a limit.

Reports now carry a digest of the caps of the slot's tenants. A partition that answers may have a version that the allocator has not seen, newer or skipped, if its caps are the same. The allocator's own version counts as long as it was known to be the newest within nine tenths of bounds.config_apply, whether or not another process has a newer one: both may be in force until then. The digests are computed once per version in each partition. An earlier program version sends none, and then the versions must match as before.

--- a/internal/jobd/caps.go
+++ b/internal/jobd/caps.go
@@ -147,7 +147,7 @@
 		pools = append(pools, quota.Pool{ID: p.ID, Partition: int(shard.PartitionOf(p.ID, c.Service.Partitions))})
 	}
 	c.allocator.Configure(table.Version, tenants, pools)
-	c.allocator.Withhold(!c.Service.Config.newestWithin(c.Service.Config.ApplyWithin * 9 / 10))
+	c.allocator.Withhold(c.Service.Config.Age() > c.Service.Config.ApplyWithin*9/10)
 	return true
 }
 
--- a/internal/jobd/caps_test.go
+++ b/internal/jobd/caps_test.go
@@ -210,3 +210,40 @@
 	await("second pool after the loss of a process", pools[1], 4000)
 	await("first pool after the loss of a process", pools[0], 5000)
 }
+
+// Guards against a tenant that can't start tasks in a pool while versions of the configuration follow each other so closely
+// that the process of its allocator is always behind another one: its own version may still be in force.
+func TestAllocatorThatIsBehindRaisesLimits(t *testing.T) {
+	const pool = ident.PoolID("a")
+	p := startCapProcess(t, &fakes.Log{Partitions: capPartitions}, []ident.PoolID{pool})
+	p.service.Config.noteVersion(capTestVersion + 1)
+	for range 500 {
+		if got, err := allowed(t.Context(), pool, p); err == nil && got > 0 {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Error("nothing is allowed after 5 s, want a part of the cap")
+}
+
+// Guards against limits by a configuration that may not be in force any more.
+func TestAllocatorWithholdsRaisesByAnOldConfiguration(t *testing.T) {
+	const pool = ident.PoolID("a")
+	p := startCapProcess(t, &fakes.Log{Partitions: capPartitions}, []ident.PoolID{pool})
+	c := &capAllocator{Slot: quota.SlotOf(capTestTenant), Service: p.service, Clock: p.Clock, Logger: p.Logger}
+	c.allocator = quota.Allocator{Slot: c.Slot, Epoch: 1, Partitions: capPartitions}
+	c.allocator.Init()
+	s := *p.service.Config.current.Load()
+	for _, test := range []struct {
+		age  time.Duration
+		want bool
+	}{{0, false}, {p.service.Config.ApplyWithin, true}} {
+		s.confirmedAt = time.Now().Add(-test.age)
+		aged := s
+		p.service.Config.current.Store(&aged)
+		c.configure()
+		if got := c.allocator.Withheld(); got != test.want {
+			t.Errorf("age %v: raises withheld %v, want %v", test.age, got, test.want)
+		}
+	}
+}
--- a/internal/quota/allocator.go
+++ b/internal/quota/allocator.go
@@ -61,6 +61,7 @@
 type configVersion struct {
 	version int64
 	caps    map[work.TenantID]work.Resources
+	digest  uint64
 }
 
 // part is what the allocator knows of a partition.
@@ -71,6 +72,7 @@
 	round    uint64 // of the newest request
 	answered uint64 // round of the newest report
 	version  int64
+	digest   uint64 // of the caps of that version
 	cells    map[limitKey]*cell
 }
 
@@ -144,7 +146,7 @@
 		return
 	}
 	a.version, a.pools = version, pools
-	caps := map[work.TenantID]work.Resources{}
+	caps, digest := map[work.TenantID]work.Resources{}, uint64(0)
 	for _, t := range a.tenants {
 		t.configured = false
 	}
@@ -155,8 +157,9 @@
 		t := a.tenant(tenants[i].ID)
 		t.cap, t.version, t.configured = tenants[i].Cap, version, true
 		caps[t.id] = t.cap
+		digest = CapsDigest(digest, t.id, t.cap)
 	}
-	a.history = append(a.history, configVersion{version, caps})
+	a.history = append(a.history, configVersion{version, caps, digest})
 	a.history = a.history[max(0, len(a.history)-historyVersions):]
 }
 
@@ -213,7 +216,7 @@
 	if !p.known && !r.Full {
 		return nil
 	}
-	p.answered, p.version, p.stored = r.Round, r.Version, r.Stored.Seq
+	p.answered, p.version, p.digest, p.stored = r.Round, r.Version, r.Caps, r.Stored.Seq
 	first := !p.known
 	p.known = true
 	for _, c := range p.cells {
@@ -263,9 +266,9 @@
 	return a.version > 0 && !a.withheld
 }
 
-// plansByCap reports whether a partition plans by the cap of a tenant that is in force: by the same version, or by one since
-// which the cap has not changed. A partition that doesn't answer may have any version since its last report, so all of them
-// must be known then.
+// plansByCap reports whether a partition plans by the cap of a tenant that is in force: by the same version, by one since which
+// the cap has not changed, or by one that has not been seen here and has the same caps of all tenants of the slot. A partition
+// that doesn't answer may have any version since its last report, so all of them must have been seen then.
 func (a *Allocator) plansByCap(p *part, t *tenant) bool {
 	if p.version == a.version {
 		return true
@@ -273,9 +276,13 @@
 	if !t.configured {
 		return false
 	}
+	sameDigest := p.live() && p.digest != 0 && p.digest == a.history[len(a.history)-1].digest
 	next := a.version
 	for i := len(a.history) - 1; i >= 0; i-- {
 		h := &a.history[i]
+		if h.version < p.version {
+			break // its version has not been seen here
+		}
 		if c, has := h.caps[t.id]; !has || c != t.cap || h.version < next-1 && !p.live() {
 			return false
 		}
@@ -284,12 +291,15 @@
 		}
 		next = h.version
 	}
-	return false
+	return sameDigest
 }
 
 // Withhold makes the allocator raise no limit, because the configuration may not be the newest.
 func (a *Allocator) Withhold(on bool) { a.withheld = on }
 
+// Withheld reports whether the allocator raises no limit, as Withhold has set.
+func (a *Allocator) Withheld() bool { return a.withheld }
+
 // Rebalance decides new limits by what is known, and reports whether there are any.
 func (a *Allocator) Rebalance() bool {
 	a.rounds++
--- a/internal/quota/message.go
+++ b/internal/quota/message.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -95,4 +96,11 @@
 	Full    bool    `cbor:"5,keyasint,omitempty"`
 	// Version is that of the configuration by which the partition's owner plans.
 	Version int64 `cbor:"6,keyasint,omitempty"`
+	// Caps is the digest of the caps of the slot's tenants in that version; 0 if unknown.
+	Caps uint64 `cbor:"7,keyasint,omitempty"`
+}
+
+// CapsDigest adds a tenant to a digest of caps, which doesn't depend on the order of the tenants.
+func CapsDigest(digest uint64, t work.TenantID, c work.Resources) uint64 {
+	return digest + xxhash.Sum64String(fmt.Sprintf("%d,%d,%d,%s", c.CPU, c.Memory, c.GPU, t))
 }
--- a/internal/quota/sim_test.go
+++ b/internal/quota/sim_test.go
@@ -380,7 +380,7 @@
 }
 
 func (w *world) report(o *simOwner, g *Grant) Report {
-	r := Report{Slot: g.Slot, Round: g.Round, Stored: o.ledger.Stored(g.Slot), Full: g.Full, Version: o.version}
+	r := Report{Slot: g.Slot, Round: g.Round, Stored: o.ledger.Stored(g.Slot), Full: g.Full, Version: o.version, Caps: CapsDigest(0, simTenant, w.capOf(o.version))}
 	for _, p := range w.pools {
 		if p.Partition != o.partition {
 			continue
--- a/internal/quota/versions_test.go
+++ b/internal/quota/versions_test.go
@@ -80,6 +80,7 @@
 // no report.
 func TestRaisesAwaitTheSameCap(t *testing.T) {
 	const caps = 1000
+	other := otherTenantIn(0, simTenant)
 	for _, test := range []struct {
 		name     string
 		versions []int64 // that the allocator has seen, with the caps below
@@ -87,15 +88,23 @@
 		reported int64 // of the other partition
 		silent   bool
 		want     bool
+		digest   []work.Millicores // caps of that version, of the tenant and another one; nil if they are unknown
 	}{
-		{"same version", []int64{3}, []work.Millicores{caps}, 3, false, true},
-		{"unchanged", []int64{3, 4}, []work.Millicores{caps, caps}, 3, false, true},
-		{"no cap before", []int64{3, 4}, []work.Millicores{0, caps}, 3, false, false},
-		{"no cap between", []int64{3, 4, 5}, []work.Millicores{caps, 0, caps}, 3, false, false},
-		{"unknown version", []int64{4}, []work.Millicores{caps}, 3, false, false},
-		{"newer version", []int64{3}, []work.Millicores{caps}, 4, false, false},
-		{"silent, all versions known", []int64{3, 4}, []work.Millicores{caps, caps}, 3, true, true},
-		{"silent, a version skipped", []int64{3, 5}, []work.Millicores{caps, caps}, 3, true, false},
+		{"same version", []int64{3}, []work.Millicores{caps}, 3, false, true, nil},
+		{"unchanged", []int64{3, 4}, []work.Millicores{caps, caps}, 3, false, true, nil},
+		{"no cap before", []int64{3, 4}, []work.Millicores{0, caps}, 3, false, false, nil},
+		{"no cap between", []int64{3, 4, 5}, []work.Millicores{caps, 0, caps}, 3, false, false, nil},
+		{"unknown version", []int64{4}, []work.Millicores{caps}, 3, false, false, nil},
+		{"newer version", []int64{3}, []work.Millicores{caps}, 4, false, false, nil},
+		{"silent, all versions known", []int64{3, 4}, []work.Millicores{caps, caps}, 3, true, true, nil},
+		{"silent, a version skipped", []int64{3, 5}, []work.Millicores{caps, caps}, 3, true, false, nil},
+		{"no cap between, same caps", []int64{3, 4, 5}, []work.Millicores{caps, 0, caps}, 3, false, false, []work.Millicores{caps, 2 * caps}},
+		{"skipped version, same caps", []int64{3, 5}, []work.Millicores{caps, caps}, 4, false, true, []work.Millicores{caps, 2 * caps}},
+		{"skipped version, another cap", []int64{3, 5}, []work.Millicores{caps, caps}, 4, false, false, []work.Millicores{0, 2 * caps}},
+		{"newer version, same caps", []int64{3}, []work.Millicores{caps}, 4, false, true, []work.Millicores{caps, 2 * caps}},
+		{"newer version, another cap", []int64{3}, []work.Millicores{caps}, 4, false, false, []work.Millicores{0, 2 * caps}},
+		{"newer version, another cap of another tenant", []int64{3}, []work.Millicores{caps}, 4, false, false, []work.Millicores{caps, caps}},
+		{"newer version, same caps, silent", []int64{3}, []work.Millicores{caps}, 4, true, false, []work.Millicores{caps, 2 * caps}},
 	} {
 		a := &Allocator{Epoch: 1, Partitions: 2}
 		a.Init()
@@ -103,6 +112,9 @@
 		report := func(partition int, version int64) {
 			g := a.Request(partition)
 			r := Report{Round: g.Round, Stored: g.Number, Full: true, Version: version}
+			if partition == 1 && test.digest != nil {
+				r.Caps = CapsDigest(CapsDigest(0, other, work.Resources{CPU: test.digest[1]}), simTenant, work.Resources{CPU: test.digest[0]})
+			}
 			if partition == 0 {
 				r.Entries = []Entry{{Pool: "p0", Tenant: simTenant, Usage: Usage{Next: work.Resources{CPU: 500}, Member: work.Resources{CPU: 500}, Waiting: work.Resources{CPU: 500}}}}
 			}
@@ -112,7 +124,7 @@
 		}
 		newest := test.versions[len(test.versions)-1]
 		for i, v := range test.versions {
-			a.Configure(v, []Tenant{{simTenant, work.Resources{CPU: test.caps[i]}}}, pools)
+			a.Configure(v, []Tenant{{simTenant, work.Resources{CPU: test.caps[i]}}, {other, work.Resources{CPU: 2 * caps}}}, pools)
 		}
 		report(1, test.reported)
 		for test.silent && a.parts[1].live() {
@@ -120,8 +132,12 @@
 		}
 		report(0, newest)
 		a.Rebalance()
-		if raised, _ := a.Changed(); (raised > 0) != test.want {
-			t.Errorf("%s: raised %v, want %v", test.name, raised > 0, test.want)
+		l := Limit{}
+		if c := a.tenant(simTenant).cells["p0"]; c != nil {
+			l = c.limit()
+		}
+		if raised := l.Allowed != (work.Resources{}); raised != test.want {
+			t.Errorf("%s: raised %v, want %v", test.name, raised, test.want)
 		}
 	}
 }
--- a/internal/shard/caps.go
+++ b/internal/shard/caps.go
@@ -27,6 +27,28 @@
 	first           []quota.Applied
 }
 
+// capDigests holds the digests of the caps of a version of the configuration, by slot.
+type capDigests struct {
+	version int64
+	slots   [quota.Slots]uint64
+}
+
+// of returns the digest of a slot.
+func (d *capDigests) of(slot quota.Slot, version int64, tenants []work.Tenant) uint64 {
+	if slot < 0 || slot >= quota.Slots {
+		return 0
+	}
+	if version != d.version {
+		*d = capDigests{version: version}
+		for i := range tenants {
+			t := &tenants[i]
+			at := quota.SlotOf(t.ID)
+			d.slots[at] = quota.CapsDigest(d.slots[at], t.ID, t.Cap)
+		}
+	}
+	return d.slots[slot]
+}
+
 // Allocate passes a grant to the pools of the partition, and returns their report. An owner that a later one has replaced may
 // answer: what it says is stored is so, and the allocator counts all that it has sent since.
 func (s *Shard) Allocate(ctx context.Context, g quota.Grant) (quota.Report, error) {
@@ -42,6 +64,7 @@
 		var tenants []work.Tenant
 		if s.Tenants != nil {
 			r.Version, tenants = s.Tenants()
+			r.Caps = s.capDigests.of(g.Slot, r.Version, tenants)
 		}
 		for _, p := range s.pools {
 			p.SetTenants(r.Version, tenants)
--- a/internal/shard/caps_test.go
+++ b/internal/shard/caps_test.go
@@ -1,11 +1,17 @@
 package shard
 
 import (
+	"context"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/toucanhatch/toucanhatch/internal/clock"
 	"github.com/toucanhatch/toucanhatch/internal/fakes"
 	"github.com/toucanhatch/toucanhatch/internal/jobs"
 	"github.com/toucanhatch/toucanhatch/internal/plog"
@@ -152,3 +158,36 @@
 		}
 	}
 }
+
+// Guards against a report whose digest of caps is not that of the owner's version, by which an allocator would raise limits
+// while a pool plans by another cap.
+func TestReportHasTheDigestOfCaps(t *testing.T) {
+	slot := quota.SlotOf(testTenant)
+	other := work.TenantID("")
+	for n := 0; other == "" || quota.SlotOf(other) == slot; n++ {
+		other = work.TenantID(strconv.Itoa(n))
+	}
+	var version atomic.Int64
+	s := &Shard{
+		Partitions: 1, Epoch: 1, Log: &fakes.Log{}, Targets: noTargets{}, Clock: clock.System(), Logger: hclog.NewNullLogger(),
+		Queues: func() []work.Queue { return nil }, WallOffset: func() time.Duration { return 0 }, LastConfirmed: time.Now,
+		Tenants: func() (int64, []work.Tenant) {
+			v := version.Load()
+			return v, []work.Tenant{{ID: other, Cap: work.Resources{CPU: 7}}, {ID: testTenant, Cap: work.Resources{CPU: work.Millicores(v)}}}
+		},
+	}
+	s.Init(context.Background())
+	go s.Run()
+	t.Cleanup(s.Stop)
+	<-s.Ready()
+	for v := range int64(3) {
+		version.Store(v + 1)
+		r, err := s.Allocate(t.Context(), testGrant(1, uint64(v+1), 0, 100))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if want := quota.CapsDigest(0, testTenant, work.Resources{CPU: work.Millicores(v + 1)}); r.Caps != want || r.Version != v+1 {
+			t.Errorf("digest %d of version %d, want %d of version %d", r.Caps, r.Version, want, v+1)
+		}
+	}
+}
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -132,6 +132,7 @@
 	takeoverStart        time.Time
 	allowances           quota.Allowances
 	capsLog              capsLog
+	capDigests           capDigests
 	lastCapsRecord       time.Time
 	lastPlan             time.Time // start of the last round of planning
 	planScheduled        bool      // an event is due after which planning is possible again
