jobd: a late response doesn't delay the next request for caps

The response of a slow process that came after the end of an exchange was read only during the next one, after the requests had been sent. So a process that takes longer than capsWait was asked in every other exchange only.

Responses that wait are now handled before the requests are sent.

--- a/internal/jobd/caps.go
+++ b/internal/jobd/caps.go
@@ -172,6 +172,9 @@
 
 // exchange sends a request to each process that owns partitions, and handles the responses that come within capsWait.
 func (c *capAllocator) exchange(ctx context.Context) error {
+	if err := c.handleLate(); err != nil {
+		return err
+	}
 	partitions := map[string][]plog.Partition{}
 	for n := range max(c.Service.Partitions, 1) {
 		p := plog.TopicPartition{Topic: shard.JobsTopic, Partition: plog.Partition(n)}
@@ -210,6 +213,20 @@
 	return nil
 }
 
+// handleLate handles the responses that have come since the last exchange, so that their processes are asked again now.
+func (c *capAllocator) handleLate() error {
+	for {
+		select {
+		case r := <-c.results:
+			if err := c.handle(r); err != nil {
+				return err
+			}
+		default:
+			return nil
+		}
+	}
+}
+
 // call sends one request.
 func (c *capAllocator) call(ctx context.Context, addr string, req capsRequest) {
 	callCtx, cancel := context.WithTimeout(ctx, capsTimeout)
--- a/internal/jobd/caps_test.go
+++ b/internal/jobd/caps_test.go
@@ -247,3 +247,29 @@
 		}
 	}
 }
+
+// Guards against a process that is asked in every other exchange only, since its last response came after the end of the
+// exchange before.
+func TestLateResponseDoesNotDelayTheNextRequest(t *testing.T) {
+	p := startCapProcess(t, &fakes.Log{Partitions: capPartitions}, nil)
+	first := plog.TopicPartition{Topic: shard.JobsTopic}
+	for range 500 {
+		if p.member.Owner(first) != nil {
+			break
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	if p.member.Owner(first) == nil {
+		t.Fatal("the partition has no owner")
+	}
+	c := &capAllocator{Slot: quota.SlotOf(capTestTenant), Service: p.service, Clock: p.Clock, Logger: p.Logger}
+	c.allocator = quota.Allocator{Slot: c.Slot, Epoch: 1, Partitions: capPartitions}
+	c.allocator.Init()
+	c.pending, c.results = map[string]bool{"": true}, make(chan capsResult)
+	go func() { c.results <- capsResult{} }()
+	time.Sleep(50 * time.Millisecond) // the late response waits by then
+	_ = c.exchange(t.Context())       // the owner may know of a later allocator
+	if round := c.allocator.Request(0).Round; round != 2 {
+		t.Errorf("the next request has round %d, want 2", round)
+	}
+}
