quota: a new allocator moves limits before it knows all partitions

A new allocator changed no limit until every partition had answered it. While one had no owner, a tenant whose demand had moved to a pool without a limit started nothing there, though its limit lay idle in another pool.

The limits that a former allocator has left in the partitions that have answered may now move between these, by the usual durable lowering first. The others count as if their pools had the rest of the cap. After a revocation (a lowered cap) nothing moves until all partitions are known.

TestLimitsMoveWhileAPartitionIsNotKnown: nothing held after 3 s in the only pool that waits before, at least half of the cap now.

--- a/internal/quota/allocator.go
+++ b/internal/quota/allocator.go
@@ -55,6 +55,8 @@
 	withoutSilent bool
 	// withoutVersions lets it raise limits while partitions plan by other versions, withoutExcess while the counts exceed the cap.
 	withoutVersions, withoutExcess bool
+	// withoutRest lets it give the rest of the cap to the known partitions, withoutForfeit lets limits move that were revoked.
+	withoutRest, withoutForfeit bool
 }
 
 // configVersion holds the caps of the slot's tenants in a version of the configuration.
@@ -97,6 +99,9 @@
 	version    int64          // of the configuration that set it; 0 if unknown
 	configured bool
 	cells      map[ident.PoolID]*cell
+	// inherited is the sum of the limits in the first reports of the partitions; zero once they have been revoked. The limits
+	// of the partitions that are not known yet may take all the rest of the cap.
+	inherited amount
 }
 
 // limit returns the newest limit.
@@ -231,6 +236,8 @@
 		c := a.cell(p, e.Pool, e.Tenant)
 		if first {
 			c.sent = []sentLimit{{0, e.Limit}}
+			t := a.tenant(e.Tenant)
+			t.inherited = t.inherited.plus(amountOf(e.Limit.Allowed))
 		}
 		c.usage, c.fresh = e.Usage, r.Round
 		if t := a.tenant(e.Tenant); !t.configured { // it was removed, or is not known yet
@@ -255,17 +262,22 @@
 	return a.version > 0
 }
 
-// mayRaise reports whether limits of a tenant may be raised: all partitions have told their limits, and plan by the tenant's
+// mayRaise reports whether limits of a tenant may be raised: all partitions that have told their limits plan by the tenant's
 // cap. By another one, they may let it hold what their reports don't show.
 func (a *Allocator) mayRaise(t *tenant) bool {
 	for _, p := range a.parts {
-		if !p.known && !a.withoutSilent || !a.plansByCap(p, t) && !a.withoutVersions && !a.withoutSilent {
+		if p.known && !a.plansByCap(p, t) && !a.withoutVersions && !a.withoutSilent {
 			return false
 		}
 	}
 	return a.version > 0 && !a.withheld
 }
 
+// allKnown reports whether all partitions have told their limits.
+func (a *Allocator) allKnown() bool {
+	return a.withoutSilent || !slices.ContainsFunc(a.parts, func(p *part) bool { return !p.known })
+}
+
 // plansByCap reports whether a partition plans by the cap of a tenant that is in force: by the same version, by one since which
 // the cap has not changed, or by one that has not been seen here and has the same caps of all tenants of the slot. A partition
 // that doesn't answer may have any version since its last report, so all of them must have been seen then.
--- a/internal/quota/divide.go
+++ b/internal/quota/divide.go
@@ -45,7 +45,7 @@
 		}
 	}
 	d := a.newDivision(t, base)
-	if d.overcommitted() {
+	if a.allKnown() && d.overcommitted() {
 		for _, c := range d.cells {
 			a.set(c, Limit{})
 		}
@@ -73,6 +73,9 @@
 		switch {
 		case l.Allowed == (work.Resources{}):
 		case revoked:
+			if !a.withoutForfeit {
+				t.inherited = amount{}
+			}
 			a.set(c, Limit{})
 		case l.Cap != t.cap && t.version >= l.Version:
 			l.Cap, l.Version, l.Whole = t.cap, t.version, false
@@ -98,8 +101,15 @@
 	d := &division{t: t, caps: amountOf(t.cap), base: base}
 	var sum amount
 	exceeding := false
+	cells := make([]*cell, 0, len(t.cells)+1)
 	for _, pool := range slices.Sorted(maps.Keys(t.cells)) {
-		c := t.cells[pool]
+		cells = append(cells, t.cells[pool])
+	}
+	if !a.allKnown() && !a.withoutRest { // limits may only move between the known partitions
+		rest := d.caps.minus(t.inherited).max(amount{})
+		cells = append(cells, &cell{part: &part{}, sent: []sentLimit{{0, Limit{Allowed: rest.resources(), Cap: t.cap}}}})
+	}
+	for _, c := range cells {
 		if base == (amount{}) && c.idle() {
 			continue // of hundreds of pools, a tenant uses few at a time
 		}
--- a/internal/quota/sim_test.go
+++ b/internal/quota/sim_test.go
@@ -26,7 +26,7 @@
 
 // safeguards are those that a simulation switches off.
 type safeguards struct {
-	withoutDurability, withoutOrder, withoutSilentParts, withoutSilentRuns, withoutVersions, withoutExcess bool
+	withoutDurability, withoutOrder, withoutSilentParts, withoutSilentRuns, withoutVersions, withoutExcess, withoutRest, withoutForfeit bool
 }
 
 // world simulates allocators, owners and logs of a few partitions, and the tasks of one tenant.
@@ -163,6 +163,7 @@
 	a := &simAllocator{version: w.someVersion()}
 	a.Epoch, a.Partitions, a.withoutSilent = int64(len(w.allocs)+1), len(w.logs), w.off.withoutSilentParts
 	a.withoutVersions, a.withoutExcess = w.off.withoutVersions, w.off.withoutExcess
+	a.withoutRest, a.withoutForfeit = w.off.withoutRest, w.off.withoutForfeit
 	a.Init()
 	w.allocs = append(w.allocs, a)
 }
@@ -557,6 +558,8 @@
 		{"runs of silent targets", safeguards{withoutSilentRuns: true}},
 		{"the same version everywhere", safeguards{withoutVersions: true}},
 		{"no raise while the counts exceed the cap", safeguards{withoutExcess: true}},
+		{"the rest for partitions that are not known", safeguards{withoutRest: true}},
+		{"the end of moves after a revocation", safeguards{withoutForfeit: true}},
 	} {
 		found := ""
 		for seed := range uint64(seeds) {
--- a/internal/quota/versions_test.go
+++ b/internal/quota/versions_test.go
@@ -177,3 +177,32 @@
 		}
 	}
 }
+
+// Guards against a tenant that waits, far below its cap, while an allocator is new and the partition of another pool has no
+// owner yet: limits of idle pools could move.
+func TestLimitsMoveWhileAPartitionIsNotKnown(t *testing.T) {
+	d := newDemand()
+	waits := func(pool int) func(time.Duration, int) int64 {
+		return func(_ time.Duration, n int) int64 {
+			if n != pool {
+				return 0
+			}
+			return 5 * demandCap
+		}
+	}
+	for d.waits = waits(0); d.now < 2*time.Second; {
+		d.tick()
+	}
+	d.replaceAllocator()
+	d.unowned = func(pool int) bool { return pool == 3 }
+	d.waits = waits(1)
+	for begin := d.now; d.now-begin < 3*time.Second; {
+		d.tick()
+		if got := d.held(); got > demandCap {
+			t.Fatalf("%d held, cap %d", got, demandCap)
+		}
+	}
+	if got := d.pools[1].held(); got < demandCap/2 {
+		t.Errorf("%d held in the only pool that waits, want at least half of %d", got, demandCap)
+	}
+}
