--- a/internal/jobd/caps.go
+++ b/internal/jobd/caps.go
@@ -147,7 +147,7 @@
 		pools = append(pools, quota.Pool{ID: p.ID, Partition: int(shard.PartitionOf(p.ID, c.Service.Partitions))})
 	}
 	c.allocator.Configure(table.Version, tenants, pools)
-	c.allocator.Withhold(!c.Service.Config.newestWithin(c.Service.Config.ApplyWithin * 9 / 10))
+	c.allocator.Withhold(c.Service.Config.Age() > c.Service.Config.ApplyWithin*9/10)
 	return true
 }
 
@@ -172,12 +172,16 @@
 
 // exchange sends a request to each process that owns partitions, and handles the responses that come within capsWait.
 func (c *capAllocator) exchange(ctx context.Context) error {
+	if err := c.handleLate(); err != nil {
+		return err
+	}
 	partitions := map[string][]plog.Partition{}
 	for n := range max(c.Service.Partitions, 1) {
 		p := plog.TopicPartition{Topic: shard.JobsTopic, Partition: plog.Partition(n)}
 		addr := ""
 		if c.Service.Member.Owner(p) == nil {
 			if addr = c.Service.Owners.Address(p); addr == "" {
+				c.allocator.NoteUnasked(n)
 				continue
 			}
 		}
@@ -209,6 +213,20 @@
 	return nil
 }
 
+// handleLate handles the responses that have come since the last exchange, so that their processes are asked again now.
+func (c *capAllocator) handleLate() error {
+	for {
+		select {
+		case r := <-c.results:
+			if err := c.handle(r); err != nil {
+				return err
+			}
+		default:
+			return nil
+		}
+	}
+}
+
 // call sends one request.
 func (c *capAllocator) call(ctx context.Context, addr string, req capsRequest) {
 	callCtx, cancel := context.WithTimeout(ctx, capsTimeout)
--- a/internal/quota/allocator.go
+++ b/internal/quota/allocator.go
@@ -17,6 +17,9 @@
 // arrive would keep its amount from the others.
 const silentRounds = 3
 
+// historyVersions is how many versions of the configuration are remembered: those that come into force within a few seconds.
+const historyVersions = 32
+
 // Tenant is a tenant with a cap.
 type Tenant struct {
 	ID  work.TenantID
@@ -36,7 +39,8 @@
 	Epoch      int64 // above that of all former allocators of the slot
 	Partitions int
 
-	version  int64 // of the configuration
+	version  int64           // of the configuration
+	history  []configVersion // the newest last, which is the one in force
 	pools    []Pool
 	parts    []*part
 	tenants  map[work.TenantID]*tenant
@@ -51,6 +55,15 @@
 	withoutSilent bool
 	// withoutVersions lets it raise limits while partitions plan by other versions, withoutExcess while the counts exceed the cap.
 	withoutVersions, withoutExcess bool
+	// withoutRest lets it give the rest of the cap to the known partitions, withoutForfeit lets limits move that were revoked.
+	withoutRest, withoutForfeit bool
+}
+
+// configVersion holds the caps of the slot's tenants in a version of the configuration.
+type configVersion struct {
+	version int64
+	caps    map[work.TenantID]work.Resources
+	digest  uint64
 }
 
 // part is what the allocator knows of a partition.
@@ -61,6 +74,7 @@
 	round    uint64 // of the newest request
 	answered uint64 // round of the newest report
 	version  int64
+	digest   uint64 // of the caps of that version
 	cells    map[limitKey]*cell
 }
 
@@ -85,6 +99,9 @@
 	version    int64          // of the configuration that set it; 0 if unknown
 	configured bool
 	cells      map[ident.PoolID]*cell
+	// inherited is the sum of the limits in the first reports of the partitions; zero once they have been revoked. The limits
+	// of the partitions that are not known yet may take all the rest of the cap.
+	inherited amount
 }
 
 // limit returns the newest limit.
@@ -134,6 +151,7 @@
 		return
 	}
 	a.version, a.pools = version, pools
+	caps, digest := map[work.TenantID]work.Resources{}, uint64(0)
 	for _, t := range a.tenants {
 		t.configured = false
 	}
@@ -143,7 +161,11 @@
 		}
 		t := a.tenant(tenants[i].ID)
 		t.cap, t.version, t.configured = tenants[i].Cap, version, true
+		caps[t.id] = t.cap
+		digest = CapsDigest(digest, t.id, t.cap)
 	}
+	a.history = append(a.history, configVersion{version, caps, digest})
+	a.history = a.history[max(0, len(a.history)-historyVersions):]
 }
 
 func (a *Allocator) tenant(id work.TenantID) *tenant {
@@ -183,6 +205,9 @@
 	return g
 }
 
+// NoteUnasked notes that a partition could not be asked, as it has no known owner. It counts as a request without an answer.
+func (a *Allocator) NoteUnasked(partition int) { a.parts[partition].round++ }
+
 // Handle handles the report of a partition. One that is older than another of the same partition, by its round or by what it
 // has stored, is ignored: it may come from a former owner.
 func (a *Allocator) Handle(partition int, r *Report) error {
@@ -196,7 +221,7 @@
 	if !p.known && !r.Full {
 		return nil
 	}
-	p.answered, p.version, p.stored = r.Round, r.Version, r.Stored.Seq
+	p.answered, p.version, p.digest, p.stored = r.Round, r.Version, r.Caps, r.Stored.Seq
 	first := !p.known
 	p.known = true
 	for _, c := range p.cells {
@@ -211,6 +236,8 @@
 		c := a.cell(p, e.Pool, e.Tenant)
 		if first {
 			c.sent = []sentLimit{{0, e.Limit}}
+			t := a.tenant(e.Tenant)
+			t.inherited = t.inherited.plus(amountOf(e.Limit.Allowed))
 		}
 		c.usage, c.fresh = e.Usage, r.Round
 		if t := a.tenant(e.Tenant); !t.configured { // it was removed, or is not known yet
@@ -225,8 +252,7 @@
 	return nil
 }
 
-// Ready reports whether all partitions have told their limits, by the configuration in force. Until then no limit is raised: a
-// partition that has another version may let a tenant hold what its reports don't show.
+// Ready reports whether all partitions have told their limits, by the configuration in force.
 func (a *Allocator) Ready() bool {
 	for _, p := range a.parts {
 		if !p.known && !a.withoutSilent || p.version != a.version && !a.withoutVersions && !a.withoutSilent {
@@ -236,18 +262,64 @@
 	return a.version > 0
 }
 
+// mayRaise reports whether limits of a tenant may be raised: all partitions that have told their limits plan by the tenant's
+// cap. By another one, they may let it hold what their reports don't show.
+func (a *Allocator) mayRaise(t *tenant) bool {
+	for _, p := range a.parts {
+		if p.known && !a.plansByCap(p, t) && !a.withoutVersions && !a.withoutSilent {
+			return false
+		}
+	}
+	return a.version > 0 && !a.withheld
+}
+
+// allKnown reports whether all partitions have told their limits.
+func (a *Allocator) allKnown() bool {
+	return a.withoutSilent || !slices.ContainsFunc(a.parts, func(p *part) bool { return !p.known })
+}
+
+// plansByCap reports whether a partition plans by the cap of a tenant that is in force: by the same version, by one since which
+// the cap has not changed, or by one that has not been seen here and has the same caps of all tenants of the slot. A partition
+// that doesn't answer may have any version since its last report, so all of them must have been seen then.
+func (a *Allocator) plansByCap(p *part, t *tenant) bool {
+	if p.version == a.version {
+		return true
+	}
+	if !t.configured {
+		return false
+	}
+	sameDigest := p.live() && p.digest != 0 && p.digest == a.history[len(a.history)-1].digest
+	next := a.version
+	for i := len(a.history) - 1; i >= 0; i-- {
+		h := &a.history[i]
+		if h.version < p.version {
+			break // its version has not been seen here
+		}
+		if c, has := h.caps[t.id]; !has || c != t.cap || h.version < next-1 && !p.live() {
+			return false
+		}
+		if h.version == p.version {
+			return true
+		}
+		next = h.version
+	}
+	return sameDigest
+}
+
 // Withhold makes the allocator raise no limit, because the configuration may not be the newest.
 func (a *Allocator) Withhold(on bool) { a.withheld = on }
 
+// Withheld reports whether the allocator raises no limit, as Withhold has set.
+func (a *Allocator) Withheld() bool { return a.withheld }
+
 // Rebalance decides new limits by what is known, and reports whether there are any.
 func (a *Allocator) Rebalance() bool {
 	a.rounds++
 	a.raised, a.lowered = 0, 0
 	a.asked = a.asked[:0:0]
-	ready := a.Ready() && !a.withheld
 	for _, id := range slices.Sorted(maps.Keys(a.tenants)) {
 		if t := a.tenants[id]; Limits(t.cap) {
-			a.rebalance(t, ready)
+			a.rebalance(t)
 		}
 	}
 	for _, p := range a.parts {
