--- a/integ/crowd/toucanjobd_test.go
+++ b/integ/crowd/toucanjobd_test.go
@@ -90,7 +90,7 @@
 var jobBody = []byte(fmt.Sprintf(`{"spec":"%s"}`, strings.Repeat("x", bodyLength-len(`{"spec":""}`))))
 
 // emptySteps is a body whose decoded form is many times larger.
-var emptySteps = []byte(`{"phases":[` + strings.Repeat("{},", bodyLength/3-10) + `{}]}`)
+var emptySteps = []byte(local.EmptySteps(bodyLength/3 - 9))
 
 func jobHeader(i int) string { return jobHeaderTo("cut")(i) }
 
