delay, check, jobs: names and comments from a read-through

Cause: a name and a comment that a reader has to translate; a method that changes state was documented as one that reports. Change: limitFactor, plainer words. Measured: tests of the packages pass.

--- a/internal/check/config.go
+++ b/internal/check/config.go
@@ -22,7 +22,7 @@
 func Config(c *work.Config) []Finding {
 	var f findings
 	if c.Version < 1 {
-		f.add(SeverityError, VersionNotPositive, section(SectionVersion), "the version is missing or below 1: no version that is in force gives way to it")
+		f.add(SeverityError, VersionNotPositive, section(SectionVersion), "the version is missing or below 1: it never replaces the version in force")
 	}
 	f.limits(c)
 	f.routes(c)
--- a/internal/delay/delay.go
+++ b/internal/delay/delay.go
@@ -2,8 +2,8 @@
 
 import "time"
 
-// patience is how many times the duration of recent calls a call may take before it is overdue.
-const patience = 3
+// limitFactor is how many times the duration of recent calls a call may take before it is overdue.
+const limitFactor = 3
 
 // recentCalls is the number of calls that count as recent. The longest of them counts, since the durations of calls to a
 // loaded dependency vary from one call to the next.
@@ -52,7 +52,7 @@
 	for _, d := range t.recent {
 		longest = max(longest, d)
 	}
-	return min(max(patience*longest, t.Min), t.Max)
+	return min(max(limitFactor*longest, t.Min), t.Max)
 }
 
 // Overdue reports whether a call that has waited for d without an answer is overdue.
--- a/internal/jobs/shares.go
+++ b/internal/jobs/shares.go
@@ -30,7 +30,7 @@
 	index  int    // of the tenant in that pass
 }
 
-// meets reports whether this is the first job of the tenant in a pass.
+// meets notes a job of the tenant in a pass, and reports whether it is the first one.
 func (t *tenantShare) meets(round uint64) bool {
 	first := t.round != round
 	t.round = round
