--- a/internal/admit/admit.go
+++ b/internal/admit/admit.go
@@ -84,7 +84,8 @@
 	if capacity <= 0 {
 		return Decision{Admit: true, Reason: "no target is known yet"}
 	}
-	wait, excess := d.excess(l.Backlog, capacity)
+	wait := saturate(float64(l.Backlog) / capacity)
+	excess := d.lateness(wait, capacity)
 	if excess <= 0 {
 		return Decision{Admit: true, Wait: wait}
 	}
@@ -100,12 +101,6 @@
 	return refuse("behind the pool's backlog, and behind its tenant's in the tenant's share, the job would complete too late", LimitShare, wait, excess)
 }
 
-// excess returns how long the job waits behind a backlog on the given cores, and by how much it would complete too late.
-func (d *Demand) excess(backlog time.Duration, cores float64) (wait, excess time.Duration) {
-	wait = saturate(float64(backlog) / cores)
-	return wait, d.lateness(wait, cores)
-}
-
 // lateness returns by how much the job would complete too late on the given cores if it has to wait.
 func (d *Demand) lateness(wait time.Duration, cores float64) time.Duration {
 	ownTime := max(d.LongestChain, saturate(float64(d.CPUTime)/cores))
--- a/internal/guard/body.go
+++ b/internal/guard/body.go
@@ -56,7 +56,6 @@
 	clientWaits time.Duration
 
 	claim *intake.Claim
-	held  int64
 	data  []byte
 	err   error // of the read that ended; io.EOF at the end of the body
 }
@@ -99,7 +98,7 @@
 	now := time.Now()
 	if b.claim == nil {
 		if b.conn != nil {
-			b.claim, b.held = b.conn.takeHeader() // a body that is given up gives up its header as well
+			b.claim = b.conn.takeHeader() // a body that is given up gives up its header as well
 		}
 		if b.claim == nil {
 			b.claim = b.guard.bodies.Claim(func() { _ = b.deadline(time.Unix(1, 0)) })
@@ -146,7 +145,6 @@
 	if !b.claim.Grow(n, now) {
 		return false
 	}
-	b.held += n
 	bodyBytes.Add(n)
 	return true
 }
@@ -181,9 +179,7 @@
 func (b *Body) drop() {
 	b.data = nil
 	if b.claim != nil {
-		b.claim.Release()
-		bodyBytes.Add(-b.held)
-		b.held = 0
+		bodyBytes.Add(-b.claim.Release())
 	}
 }
 
--- a/internal/guard/header.go
+++ b/internal/guard/header.go
@@ -25,7 +25,6 @@
 	mu    sync.Mutex
 	read  int
 	claim *intake.Claim // nil unless the header has more than freeHeader bytes
-	held  int64
 }
 
 // Read implements net.Conn. It fails if the process holds too many bytes for the header that is being received.
@@ -54,7 +53,6 @@
 	if !h.claim.Grow(size, time.Now()) {
 		return false
 	}
-	h.held += size
 	bodyBytes.Add(size)
 	return true
 }
@@ -71,21 +69,20 @@
 	}
 }
 
-// takeHeader returns the claim of the header and the bytes that it holds, which the caller has to release; nil if there is none.
-func (c *conn) takeHeader() (claim *intake.Claim, held int64) {
+// takeHeader returns the claim of the header, which the caller has to release, or nil if there is none.
+func (c *conn) takeHeader() *intake.Claim {
 	h := &c.header
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	claim, held = h.claim, h.held
-	h.claim, h.held = nil, 0
-	return claim, held
+	claim := h.claim
+	h.claim = nil
+	return claim
 }
 
 // releaseHeader returns the bytes of the header, if nobody has taken its claim.
 func (c *conn) releaseHeader() {
-	if claim, held := c.takeHeader(); claim != nil {
-		claim.Release()
-		bodyBytes.Add(-held)
+	if claim := c.takeHeader(); claim != nil {
+		bodyBytes.Add(-claim.Release())
 	}
 }
 
--- a/internal/guard/stream.go
+++ b/internal/guard/stream.go
@@ -88,7 +88,5 @@
 	if f.claim == nil {
 		return
 	}
-	f.claim.Release()
-	bodyBytes.Add(-f.held)
-	f.held = 0
+	bodyBytes.Add(-f.claim.Release())
 }
--- a/internal/intake/budget.go
+++ b/internal/intake/budget.go
@@ -73,8 +73,8 @@
 	return !c.shed
 }
 
-// Release returns the bytes of the claim.
-func (c *Claim) Release() {
+// Release ends the claim, and returns how many bytes it held.
+func (c *Claim) Release() int64 {
 	b := c.budget
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -87,7 +87,9 @@
 			b.large--
 		}
 	}
+	held := c.held
 	c.held, c.shed = 0, false
+	return held
 }
 
 // Used returns the bytes that are held, including those of bodies that are being shed.
--- a/internal/jobd/caps.go
+++ b/internal/jobd/caps.go
@@ -274,15 +274,8 @@
 	case <-owner.Done():
 		return
 	}
-	ctx, cancel := context.WithCancel(d.ctx)
+	ctx, cancel := d.ownerContext(owner)
 	defer cancel()
-	go func() {
-		select {
-		case <-owner.Stopping():
-			cancel()
-		case <-ctx.Done():
-		}
-	}()
 	var wg sync.WaitGroup
 	for slot := range quota.Slots {
 		if plog.Partition(slot%max(d.Settings.Log.Partitions, 1)) != owner.Partition {
--- a/internal/jobd/metrics.go
+++ b/internal/jobd/metrics.go
@@ -19,8 +19,8 @@
 	requests          = expvar.NewMap("requests")              // by method and outcome
 	logCalls          = expvar.NewMap("log_calls")             // by call and outcome
 	jobsInTime        = expvar.NewMap("jobs_in_time")          // by queue
-	reservationGained = expvar.NewInt("reservation_gained_ms") // waiting time that reservations have saved large tasks, estimated
 	jobsLate          = expvar.NewMap("jobs_late")             // by queue
+	reservationGained = expvar.NewInt("reservation_gained_ms") // waiting time that reservations have saved large tasks, estimated
 	configVersion     = expvar.NewInt("config_version")
 	configAge         = expvar.NewInt("config_unconfirmed_ms") // since the configuration was known to be the newest
 	configTransfers   = expvar.NewMap("config_transfers")      // by source and outcome
--- a/internal/jobd/shards.go
+++ b/internal/jobd/shards.go
@@ -38,10 +38,9 @@
 // fleetPartition is the partition whose owner runs the fleet controller, which moves VMs and executes waves.
 const fleetPartition = 0
 
-// runFleetController runs the fleet controller until the owner of its partition ends.
-func (d *Daemon) runFleetController(owner *shard.Shard, epoch plog.Epoch) {
+// ownerContext returns a context that ends when the owner of a partition begins to stop.
+func (d *Daemon) ownerContext(owner *shard.Shard) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancel(d.ctx)
-	defer cancel()
 	go func() {
 		select {
 		case <-owner.Stopping():
@@ -49,6 +48,13 @@
 		case <-ctx.Done():
 		}
 	}()
+	return ctx, cancel
+}
+
+// runFleetController runs the fleet controller until the owner of its partition ends.
+func (d *Daemon) runFleetController(owner *shard.Shard, epoch plog.Epoch) {
+	ctx, cancel := d.ownerContext(owner)
+	defer cancel()
 	controller := &ctrl.Controller{
 		Cloud: d.Platform.Cloud, Pools: d.service, Log: d.Platform.Log, Token: work.Fence(epoch), Epoch: epoch,
 		StatusPartition: d.Platform.StatusPartition, EncodeStatus: d.Platform.EncodeWaveStatus, Lease: d.Settings.Bounds.VMLease.Duration,
--- a/internal/jobs/caps.go
+++ b/internal/jobs/caps.go
@@ -68,9 +68,6 @@
 	p.caps.views[id] = v
 }
 
-// CapVersion returns the version of the configuration whose caps the pool obeys.
-func (p *Pool) CapVersion() int64 { return p.caps.version }
-
 // SetLimits sets what the tenants may hold here. The pool doesn't change the map.
 func (p *Pool) SetLimits(limits map[work.TenantID]quota.Limit) {
 	p.caps.limits, p.caps.usageAt, p.replan = limits, time.Time{}, true
--- a/internal/jobs/capusage.go
+++ b/internal/jobs/capusage.go
@@ -39,8 +39,7 @@
 		if !t.usable(now) || t.trial != nil {
 			continue
 		}
-		free := t.Capacity.Minus(t.reserved)
-		free = work.Resources{CPU: max(free.CPU, 0), Memory: max(free.Memory, 0), GPU: max(free.GPU, 0)}
+		free := t.Capacity.Minus(t.reserved).AtLeastZero()
 		room.targets, room.free, room.sum = append(room.targets, t), append(room.free, free), room.sum.Plus(free)
 	}
 	return room
--- a/internal/jobs/lookahead.go
+++ b/internal/jobs/lookahead.go
@@ -65,7 +65,7 @@
 	for k, t := range cs.targets {
 		runs += len(t.runs)
 		held = held.Plus(t.reserved)
-		a.free = a.free.Plus(atLeastZero(cs.list[k].Free))
+		a.free = a.free.Plus(cs.list[k].Free.AtLeastZero())
 	}
 	n := max(runs, 1)
 	a.typical = work.Resources{CPU: held.CPU / work.Millicores(n), Memory: held.Memory / work.Mebibytes(n)}
@@ -292,7 +292,3 @@
 	e.CountOnly = a.lines > maxReservationLines
 	p.emit(e)
 }
-
-func atLeastZero(r work.Resources) work.Resources {
-	return work.Resources{CPU: max(r.CPU, 0), Memory: max(r.Memory, 0), GPU: max(r.GPU, 0)}
-}
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -192,18 +192,15 @@
 	return f, received, nil
 }
 
-// readFrame reads a frame. Each time that bytes of it have arrived, it calls received, if that is not nil, with their number
-// and that of all bytes of the frame so far.
+// readFrame reads a frame. Each time that bytes of it have arrived, it calls received with their number and that of all bytes
+// of the frame so far.
 func readFrame(ctx context.Context, ws *websocket.Conn, received func(n, total int)) (frame, error) {
 	var f frame
 	_, r, err := ws.Reader(ctx)
 	if err != nil {
 		return f, err
 	}
-	if received != nil {
-		r = &progressReader{from: r, received: received}
-	}
-	data, err := io.ReadAll(r)
+	data, err := io.ReadAll(&progressReader{from: r, received: received})
 	if err != nil {
 		return f, err
 	}
--- a/internal/place/ahead.go
+++ b/internal/place/ahead.go
@@ -127,7 +127,7 @@
 			atDue = atDue.Plus(e.Holds)
 		}
 	}
-	r.beside = atLeastZero(atDue.Minus(r.Need))
+	r.beside = atDue.Minus(r.Need).AtLeastZero()
 	return limit < 0 || !r.Need.Fits(atLimit)
 }
 
@@ -196,7 +196,7 @@
 			continue
 		}
 		free := &b.candidates[r.index].Free
-		amount := atLeastZero(free.Minus(r.beside))
+		amount := free.Minus(r.beside).AtLeastZero()
 		*free = free.Minus(amount)
 		b.hidden = append(b.hidden, hiddenFree{r.index, amount})
 	}
@@ -255,7 +255,7 @@
 			continue
 		}
 		if r.Holder != step {
-			r.beside = atLeastZero(r.beside.Minus(need))
+			r.beside = r.beside.Minus(need).AtLeastZero()
 			return nil
 		}
 		r.Count--
@@ -330,7 +330,7 @@
 		if q.Task.MaxPerTarget > 0 {
 			limit = min(limit, q.Task.MaxPerTarget-c.SameStep)
 		}
-		if q.Task.Label != "" && !slices.Contains(c.Labels, q.Task.Label) || limit <= 0 {
+		if !c.hasLabel(q.Task.Label) || limit <= 0 {
 			continue
 		}
 		examined++
@@ -435,7 +435,3 @@
 	whole := Candidate{ID: c.ID, Rack: c.Rack, Zone: c.Zone, Draining: c.Draining, SameStep: c.SameStep, Pinned: c.Pinned, LatencySensitive: c.LatencySensitive, BestEffort: c.BestEffort}
 	return score(&whole, t)
 }
-
-func atLeastZero(r work.Resources) work.Resources {
-	return work.Resources{CPU: max(r.CPU, 0), Memory: max(r.Memory, 0), GPU: max(r.GPU, 0)}
-}
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -70,7 +70,7 @@
 	switch {
 	case !t.Need.Fits(c.Free):
 		return false
-	case t.Label != "" && !slices.Contains(c.Labels, t.Label):
+	case !c.hasLabel(t.Label):
 		return false
 	case t.MaxPerTarget > 0 && c.SameStep >= t.MaxPerTarget:
 		return false
@@ -80,6 +80,11 @@
 	return true
 }
 
+// hasLabel reports whether the candidate has a label. It has the empty label of tasks that need none.
+func (c *Candidate) hasLabel(label string) bool {
+	return label == "" || slices.Contains(c.Labels, label)
+}
+
 func score(c *Candidate, t Task) float64 {
 	s := 0.0
 	if c.ID == t.Avoid {
--- a/internal/work/types.go
+++ b/internal/work/types.go
@@ -48,6 +48,11 @@
 	return Resources{r.CPU - o.CPU, r.Memory - o.Memory, r.GPU - o.GPU}
 }
 
+// AtLeastZero returns r with zero for each negative resource.
+func (r Resources) AtLeastZero() Resources {
+	return Resources{max(r.CPU, 0), max(r.Memory, 0), max(r.GPU, 0)}
+}
+
 // Times returns n * r.
 func (r Resources) Times(n int) Resources {
 	return Resources{r.CPU * Millicores(n), r.Memory * Mebibytes(n), r.GPU * ident.Accelerators(n)}
