guard: close connections whose body nobody reads soon after the response

The handlers of the administration, metrics and readiness listeners read no bodies, but net/http does after the response, up to 256 KB and for as long as ReadTimeout, 10 s. Each connection so kept its place until it could be closed for another one, after 1 s, just as the crowd came back, and ordinary requests found no place. Traced by repeating the health check for a minute: 9, 5 and 9 of some 590 were answered, beside load, so that a minute without an answer was a matter of chance. Ruled out: the daemon's readiness, which the health check doesn't ask.

Change: ShortServer ends such bodies as the other listeners do, half a second after the response.

TestUnreadBodyEndsConnection waited without end before.

--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -135,12 +135,8 @@
 // ShortServer returns a server for short requests whose bodies are not read.
 func (g *Guard) ShortServer(h http.Handler) *http.Server {
 	s := g.Server(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.ContentLength != 0 {
-			w.Header().Set("Connection", "close")
-		}
-		if x, ok := r.Context().Value(connKey{}).(*conn); ok {
-			x.entry.Set(intake.Responding, time.Now())
-		}
+		// Without its limit on time, net/http would await the rest of the body after the response, up to ReadTimeout.
+		g.Body(w, r, shortRequest).Finish(w.Header())
 		h.ServeHTTP(w, r)
 	}))
 	s.ReadTimeout, s.WriteTimeout = shortRequest, shortRequest
--- a/internal/guard/guard_test.go
+++ b/internal/guard/guard_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -131,3 +132,38 @@
 		}
 	}
 }
+
+// Guards against a body that nobody reads and that never ends: its connection stayed open for the time of a whole request,
+// and a crowd of such connections left no room for an ordinary request.
+func TestUnreadBodyEndsConnection(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	g := New(testLimits(), hclog.NewNullLogger())
+	srv := g.ShortServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	srv.ReadTimeout, srv.WriteTimeout = 0, 0 // the connection must not depend on them
+	go func() { _ = srv.Serve(g.Listen(Metrics, l)) }()
+	t.Cleanup(func() { srv.Close() })
+	for _, header := range []string{"Content-Length: 3", "Transfer-Encoding: chunked"} {
+		c, err := net.Dial("tcp", l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		_, _ = io.WriteString(c, "POST / HTTP/1.1\r\nHost: a.example\r\n"+header+"\r\n\r\n2")
+		from := bufio.NewReader(c)
+		resp, err := http.ReadResponse(from, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		resp.Body.Close()
+		if got, want := resp.StatusCode, http.StatusOK; got != want || !resp.Close {
+			t.Errorf("%s: status %d, close %t; want %d, true", header, got, resp.Close, want)
+		}
+		_ = c.SetReadDeadline(time.Now().Add(time.Minute))
+		if _, err := from.ReadByte(); !errors.Is(err, io.EOF) {
+			t.Errorf("%s: after the response: %v, want the end of the connection", header, err)
+		}
+	}
+}
