daemon: bound the heap of toucand by half of the VM's memory

Ruled out: bytes beyond the budget (47.9 of 64 MB were held when shedding began).

Change: the same limit as toucanjobd's, half of the memory setting or of the 256 MB that are assumed without one.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"net"
+	"runtime/debug"
 	"sync/atomic"
 
 	"github.com/hashicorp/go-hclog"
@@ -20,6 +21,7 @@
 	"github.com/toucanhatch/toucanhatch/internal/keys"
 	"github.com/toucanhatch/toucanhatch/internal/peer"
 	"github.com/toucanhatch/toucanhatch/internal/target"
+	"github.com/toucanhatch/toucanhatch/pkg/ident"
 	"github.com/toucanhatch/toucanhatch/pkg/plat"
 )
 
@@ -72,10 +74,13 @@
 // bodyShare is the part of the memory for bodies. A body may have 8 MiB, so that several have room on a small VM.
 const bodyShare = 4
 
+// memoryOf returns the memory of the VM, or what is assumed if it is not known.
+func memoryOf(s *config.Settings) ident.Bytes { return cmp.Or(s.Memory, intake.DefaultMemory) }
+
 func newGuard(s *config.Settings, logger hclog.Logger) *guard.Guard {
 	limits := s.Limits
 	if limits.Bodies == 0 {
-		limits.Bodies = cmp.Or(s.Memory, intake.DefaultMemory) / bodyShare
+		limits.Bodies = memoryOf(s) / bodyShare
 	}
 	return guard.New(guard.Derive(limits, s.Memory), logger)
 }
@@ -91,6 +96,9 @@
 
 // Run serves until ctx is done, then stops gracefully. It calls Listen unless that was done before.
 func (d *Daemon) Run(ctx context.Context) error {
+	// Buffers of bodies are replaced as they grow. Without a limit their garbage may take as much memory again as the bodies,
+	// and more while the processor is busy.
+	debug.SetMemoryLimit(int64(memoryOf(d.Settings)) / 2)
 	if d.Clock == nil {
 		d.Clock = clock.System()
 	}
