jobs: add up the work that admission counts once in 10 ms

Cause: each submission visited all active jobs, twice if its tenant has a cap, and each round of planning looked up the queue of each job in two maps.

Change: the sums come from a list of the jobs' remaining work that is at most 10 ms old and holds the jobs admitted since (internal/jobs/workload.go). A queue's terms are looked up once for successive jobs of the same queue.

--- a/internal/jobs/caps.go
+++ b/internal/jobs/caps.go
@@ -66,11 +66,13 @@
 		p.caps.views = map[work.TenantID]quota.View{}
 	}
 	p.caps.views[id] = v
+	p.workload.at = time.Time{} // it holds times by the caps
 }
 
 // SetLimits sets what the tenants may hold here. The pool doesn't change the map.
 func (p *Pool) SetLimits(limits map[work.TenantID]quota.Limit) {
 	p.caps.limits, p.caps.usageAt, p.replan = limits, time.Time{}, true
+	p.workload.at = time.Time{}
 }
 
 // capOf returns the cap and the limit by which the tasks of a tenant are planned. No resource is limited if the cap is zero.
@@ -227,28 +229,18 @@
 }
 
 // decideByCap refuses an admitted job that would complete too late because of what its tenant has accepted here, even if the
-// tenant could use its whole cap in this pool.
-func (p *Pool) decideByCap(queue work.QueueID, spec *work.Spec, d admit.Demand, decision admit.Decision) admit.Decision {
+// tenant could use its whole cap in this pool. It also returns for how long the job's own tasks need the cap.
+func (p *Pool) decideByCap(now time.Time, queue work.QueueID, spec *work.Spec, d admit.Demand, decision admit.Decision) (admit.Decision, admit.CapTimes) {
+	var own admit.CapTimes
 	if !decision.Admit || spec.Tenant == "" {
-		return decision
+		return decision, own
 	}
 	c, _ := p.capOf(spec.Tenant)
 	if !quota.Limits(c) || !p.caps.views[spec.Tenant].Known {
-		return decision
+		return decision, own
 	}
-	var backlog, own admit.CapTimes
 	addCapTimes(&own, spec, nil, p.ratio(queue), c)
-	for _, j := range p.active {
-		if j.tenant != spec.Tenant || j.spec.HasServiceStep() {
-			continue
-		}
-		for _, o := range j.occurrences {
-			if o.stepsLeft > 0 {
-				addCapTimes(&backlog, j.spec, o, p.ratio(j.queue), c)
-			}
-		}
-	}
-	return admit.DecideByCap(backlog, own, d, decision)
+	return admit.DecideByCap(p.capBacklog(now, spec.Tenant, c), own, d, decision), own
 }
 
 // addCapTimes adds the time for which the tasks of a specification, or what is left of an occurrence, need a whole cap.
--- a/internal/jobs/end.go
+++ b/internal/jobs/end.go
@@ -73,7 +73,7 @@
 		p.finish(now, j)
 		p.emit(Event{
 			Kind: EventCompleted, Job: j.id, Queue: j.queue, Tenant: j.tenant, Delay: p.wallTime(now).Sub(j.submitted),
-			Objective: p.objectiveFor(p.queues[j.queue], j.longestChain),
+			Objective: p.termsOf(p.queues[j.queue]).objectiveFor(j.longestChain),
 		})
 	}
 }
--- a/internal/jobs/job.go
+++ b/internal/jobs/job.go
@@ -33,6 +33,7 @@
 	unsettledRuns   int           // see run.unsettled
 	stripped        bool          // its tasks and specification have been dropped
 	zone            ident.ZoneID  // preferred zone of its tasks
+	service         bool          // it has a service step
 	class           rank.Class    // in the last round of planning in which it had a runnable task
 	longestChain    time.Duration // run time of the longest chain of dependent steps in one occurrence, by the client's estimates
 	cpuTime         time.Duration // CPU time of one occurrence, by the client's estimates
@@ -77,6 +78,7 @@
 
 func newJob(id work.JobID, queue work.QueueID, spec *work.Spec, submitted time.Time, segmentTasks int) *job {
 	j := &job{id: id, queue: queue, tenant: spec.Tenant, spec: spec, submitted: submitted, occurrencesLeft: spec.Occurrences(), segments: newSegmentation(spec, segmentTasks)}
+	j.service = spec.HasServiceStep()
 	j.longestChain = longestChain(spec, nil)
 	j.cpuTime = totalCPUTime(spec)
 	return j
--- a/internal/jobs/plan.go
+++ b/internal/jobs/plan.go
@@ -41,8 +41,10 @@
 func (p *Pool) rankedJobs(now time.Time) []*job {
 	views := make([]rank.Job, 0, len(p.active))
 	runnable := false
+	var terms queueTerms
 	for _, j := range p.active {
-		views = append(views, p.rankView(now, j))
+		terms.setQueue(p, j.queue)
+		views = append(views, p.rankView(now, j, &terms))
 		runnable = runnable || j.hasRunnable()
 	}
 	if !runnable {
@@ -85,11 +87,37 @@
 	return false
 }
 
+// queueTerms is what the rank of a queue's jobs depends on.
+type queueTerms struct {
+	queue     work.QueueID
+	priority  int
+	slack     float64 // of the objective, by the client's estimates
+	objective time.Duration
+	ratio     float64
+}
+
+func (p *Pool) termsOf(q work.Queue) queueTerms {
+	ratio := p.ratio(q.ID)
+	return queueTerms{q.ID, q.Priority, q.SlackFactor * ratio, q.Objective, ratio}
+}
+
+// setQueue makes the terms those of a queue. Loops over jobs call it for each, most of which have the queue of the one before.
+func (t *queueTerms) setQueue(p *Pool, id work.QueueID) {
+	if t.queue != id {
+		*t = p.termsOf(p.queues[id])
+	}
+}
+
+// objectiveFor is the time within which a job should be completed whose longest chain of steps has a run time by the client's
+// estimates.
+func (t queueTerms) objectiveFor(chain time.Duration) time.Duration {
+	return time.Duration(t.slack*float64(chain)) + t.objective
+}
+
 // rankView returns the properties of a job that determine its rank.
-func (p *Pool) rankView(now time.Time, j *job) rank.Job {
-	q := p.queues[j.queue]
+func (p *Pool) rankView(now time.Time, j *job, q *queueTerms) rank.Job {
 	since := j.submitted
-	chain, total := p.remaining(j)
+	chain, total := j.remaining(q.ratio)
 	if j.spec.Repeat > 0 {
 		for _, o := range j.occurrences {
 			if o.stepsLeft > 0 {
@@ -99,25 +127,21 @@
 		}
 	}
 	return rank.Job{
-		Service: j.spec.HasServiceStep(), Priority: q.Priority, Waited: p.wallTime(now).Sub(since),
-		Objective: p.objectiveFor(q, j.longestChain), Remaining: chain, Started: j.begun(), CPUTime: total,
+		Service: j.service, Priority: q.priority, Waited: p.wallTime(now).Sub(since),
+		Objective: q.objectiveFor(j.longestChain), Remaining: chain, Started: j.begun(), CPUTime: total,
 	}
 }
 
 // objective is the time within which a job of the queue should be completed.
 func (p *Pool) objective(q work.Queue, spec *work.Spec) time.Duration {
-	return p.objectiveFor(q, longestChain(spec, nil))
-}
-
-func (p *Pool) objectiveFor(q work.Queue, chain time.Duration) time.Duration {
-	return time.Duration(q.SlackFactor*p.ratio(q.ID)*float64(chain)) + q.Objective
+	return p.termsOf(q).objectiveFor(longestChain(spec, nil))
 }
 
-// remaining returns the expected longest chain of steps and CPU time of what is left of a job's current occurrence.
-func (p *Pool) remaining(j *job) (chain, total time.Duration) {
+// remaining returns the expected longest chain of steps and CPU time of what is left of a job's current occurrence, given the
+// learned ratio of its queue.
+func (j *job) remaining(ratio float64) (chain, total time.Duration) {
 	for _, o := range j.occurrences {
 		if o.stepsLeft > 0 {
-			ratio := p.ratio(j.queue)
 			return time.Duration(ratio * float64(o.longestChainLeft)), time.Duration(ratio * float64(o.cpuTimeLeft))
 		}
 	}
--- a/internal/jobs/pool.go
+++ b/internal/jobs/pool.go
@@ -55,6 +55,7 @@
 	directed          bool            // the fleet controller sends directives, so that reserve is up to date
 	shares            shares
 	caps              capState
+	workload          workload
 }
 
 // Bounds are the properties of the platform that the pool relies on.
@@ -128,13 +129,14 @@
 	first := p.addArrival(now, id, spec, demand)
 	demand.Elapsed = now.Sub(first)
 	load := p.load(now, spec.Tenant, demand)
-	decision := p.decideByCap(queue.ID, spec, demand, admit.Decide(load, demand))
+	decision, capTimes := p.decideByCap(now, queue.ID, spec, demand, admit.Decide(load, demand))
 	if !decision.Admit {
 		p.emit(refusedEvent(id, queue.ID, spec.Tenant, load, decision))
 		return SubmitResult{Refused: true, RetryAfter: decision.RetryAfter}
 	}
 	j := newJob(id, queue.ID, spec, p.wallTime(first), p.tasksPerSegment())
 	p.addJob(now, j)
+	p.workload.noteAdmitted(j, demand, capTimes)
 	j.firstWrite = p.nextWrite
 	p.markDirty(j)
 	p.replan = true
--- a/internal/jobs/shares.go
+++ b/internal/jobs/shares.go
@@ -3,7 +3,6 @@
 import (
 	"maps"
 	"slices"
-	"time"
 
 	"github.com/toucanhatch/toucanhatch/internal/admit"
 	"github.com/toucanhatch/toucanhatch/internal/rank"
@@ -112,9 +111,9 @@
 	return l
 }
 
-// add adds a job whose remaining work has the given CPU time.
-func (l *tenantLoad) add(j *job, left time.Duration) {
-	if l == nil || left <= 0 {
+// add adds the remaining work of a job.
+func (l *tenantLoad) add(j jobWork) {
+	if l == nil || j.left <= 0 {
 		return
 	}
 	if j.share.meets(l.pool.shares.round) {
@@ -123,9 +122,9 @@
 	if j.share != l.own {
 		return
 	}
-	l.load.Backlog += left
-	if j.begun() || left <= l.demand.CPUTime || l.pool.shares.wholeBacklog {
-		l.load.Ahead += left
+	l.load.Backlog += j.left
+	if j.begun || j.left <= l.demand.CPUTime || l.pool.shares.wholeBacklog {
+		l.load.Ahead += j.left
 	}
 }
 
--- a/internal/jobs/tick.go
+++ b/internal/jobs/tick.go
@@ -240,12 +240,9 @@
 		CapacityUnknown: !p.directed || now.Sub(p.OwnedSince) < takeoverGrace,
 	}
 	byTenant := p.newTenantLoad(tenant, d)
-	for _, j := range p.active {
-		if !j.spec.HasServiceStep() {
-			_, total := p.remaining(j)
-			l.Backlog += total
-			byTenant.add(j, total)
-		}
+	for _, j := range p.currentWorkload(now).jobs {
+		l.Backlog += j.left
+		byTenant.add(j)
 	}
 	l.Tenant = byTenant.result()
 	return l
