sizer: one plan a round for sizes, reserve and moves

Cause: sizer.Reserve, Sizes and PlanMoves each built the state of a planning round anew, with the division among tenants, so that the fleet controller did it up to four times a round.

Change: sizer.NewPlan with methods Reserve, Sizes and Moves; a round builds it once for the waves and once for the moves. No decision changes.

Result: the tests of sizer and ctrl pass with the same expectations.

--- a/internal/ctrl/controller.go
+++ b/internal/ctrl/controller.go
@@ -73,7 +73,7 @@
 	mu           sync.Mutex
 	commands     map[work.VMID]*sentCommand                           // those whose effect has not been seen yet
 	cordons      map[ident.PoolID]map[work.TargetID]jobs.CordonReason // decided in the last round
-	reserve      map[ident.PoolID]work.Millicores                     // by sizer.Reserve, in the last round
+	reserve      map[ident.PoolID]work.Millicores                     // by sizer.Plan, in the last round
 	reports      []sizer.Pool                                         // of the last round
 }
 
--- a/internal/ctrl/plan.go
+++ b/internal/ctrl/plan.go
@@ -53,7 +53,7 @@
 // planWaves chooses the VMs to cordon for maintenance and returns the commands for those without tasks.
 func (c *Controller) planWaves(now time.Time, waves []work.Wave, vms map[work.VMID]work.VM, pools []sizer.Pool, next cordonSet) []command {
 	targets := currentTargets(vms, pools)
-	sizes := sizer.Sizes(pools)
+	sizes := sizer.NewPlan(pools).Sizes()
 	poweredOff := map[ident.PoolID]bool{}
 	for _, p := range pools {
 		poweredOff[p.ID] = p.PoweredOff
@@ -125,10 +125,11 @@
 			}
 		}
 	}
-	c.reserve = sizer.Reserve(pools)
-	c.logSizes(now, pools)
+	plan := sizer.NewPlan(pools)
+	c.reserve = plan.Reserve()
+	c.logSizes(now, pools, plan)
 	var out []command
-	for _, m := range sizer.PlanMoves(pools) {
+	for _, m := range plan.Moves() {
 		t := targets[m.VM]
 		cmd := command{kind: jobs.CordonMove, vm: m.VM, target: m.Target, capacity: t.Capacity.CPU, from: m.From, to: m.To, reason: m.Reason}
 		if m.Target != "" {
@@ -143,12 +144,12 @@
 }
 
 // logSizes logs how many VMs the pools have and need, at most once per sizesLogPeriod.
-func (c *Controller) logSizes(now time.Time, pools []sizer.Pool) {
+func (c *Controller) logSizes(now time.Time, pools []sizer.Pool, plan *sizer.Plan) {
 	if now.Sub(c.lastSizesLog) < sizesLogPeriod {
 		return
 	}
 	c.lastSizesLog = now
-	sizes := sizer.Sizes(pools)
+	sizes := plan.Sizes()
 	for i := range pools {
 		p := &pools[i]
 		z := sizes[p.ID]
--- a/internal/sizer/fair.go
+++ b/internal/sizer/fair.go
@@ -24,7 +24,7 @@
 //
 // What the pools need beyond their service tasks is divided between the tenants by weight, and what a tenant gets between
 // the pools by its demand there. Shares that a tenant doesn't need go to the others. Without tenants nothing changes.
-func (s *planner) divideFairly() {
+func (s *Plan) divideFairly() {
 	total, needed, keeps := 0, 0, 0
 	tenants := false
 	for _, p := range s.pools {
@@ -72,7 +72,7 @@
 }
 
 // tenantShares attributes the needs of the pools to the tenants in proportion to their demand there.
-func (s *planner) tenantShares() []*tenantShare {
+func (s *Plan) tenantShares() []*tenantShare {
 	byID := map[work.TenantID]*tenantShare{}
 	var out []*tenantShare // in the order of the pools, so that sums don't depend on the order of a map
 	for _, p := range s.pools {
--- a/internal/sizer/fair_test.go
+++ b/internal/sizer/fair_test.go
@@ -35,11 +35,11 @@
 		rising.Runnable.CPU += d.CPU
 	}
 	// The others need 19 VMs with headroom and fewer than their weights would give them, so that they get all that they need.
-	if got, least := count(PlanMoves([]Pool{busy, rising}), "busy", "rising"), 18; got < least {
+	if got, least := count(NewPlan([]Pool{busy, rising}).Moves(), "busy", "rising"), 18; got < least {
 		t.Errorf("%d VMs move to the others' pool, want at least %d", got, least)
 	}
 	busy.Tenants, rising.Tenants = nil, nil
-	if got := count(PlanMoves([]Pool{busy, rising}), "busy", "rising"); got != 0 {
+	if got := count(NewPlan([]Pool{busy, rising}).Moves(), "busy", "rising"); got != 0 {
 		t.Errorf("without tenants %d VMs move from a pool that is short, want none, as before", got)
 	}
 }
@@ -50,10 +50,10 @@
 	idle := pool("idle", 4)
 	idle.Tenants = []TenantDemand{{ID: "other", Weight: 100, CPU: 1000}}
 	idle.Running.CPU = 1000
-	if got := count(PlanMoves([]Pool{busy, idle}), "busy", "idle"); got != 0 {
+	if got := count(NewPlan([]Pool{busy, idle}).Moves(), "busy", "idle"); got != 0 {
 		t.Errorf("%d VMs move to a pool that needs none, want 0", got)
 	}
-	if got, want := Sizes([]Pool{busy, idle})["busy"].Need, 100; got < want {
+	if got, want := NewPlan([]Pool{busy, idle}).Sizes()["busy"].Need, 100; got < want {
 		t.Errorf("the busy pool may keep %d VMs, want all %d", got, want)
 	}
 }
@@ -62,7 +62,7 @@
 func TestEvenPoolsKeepTheirVMs(t *testing.T) {
 	a := loaded("a", 52, TenantDemand{ID: "x", Weight: 1, CPU: 16 * 200}, TenantDemand{ID: "y", Weight: 3, CPU: 16 * 200})
 	b := loaded("b", 48, TenantDemand{ID: "x", Weight: 1, CPU: 16 * 200}, TenantDemand{ID: "y", Weight: 3, CPU: 16 * 200})
-	if moves := PlanMoves([]Pool{a, b}); len(moves) != 0 {
+	if moves := NewPlan([]Pool{a, b}).Moves(); len(moves) != 0 {
 		t.Errorf("moves %+v, want none", moves)
 	}
 }
--- a/internal/sizer/sizer.go
+++ b/internal/sizer/sizer.go
@@ -98,25 +98,8 @@
 	return int((a + b - 1) / b)
 }
 
-// PlanMoves returns the moves that bring the VMs to the pools that need them.
-func PlanMoves(pools []Pool) []Move {
-	s := newPlanner(pools)
-	var moves []Move
-	for _, p := range s.byShortage() {
-		for p.spare() < 0 {
-			m, ok := s.assignVM(p)
-			if !ok {
-				break
-			}
-			moves = append(moves, m)
-		}
-	}
-	moves = append(moves, s.balanceSpares()...)
-	return append(moves, s.powerOff()...)
-}
-
-// planner is the state of one planning round; its counts include the moves planned so far.
-type planner struct {
+// Plan is the state of one planning round; its counts include the moves planned so far.
+type Plan struct {
 	pools      []*poolState
 	poweredOff *poolState // the pool for VMs that no pool needs; nil if there is none
 }
@@ -135,8 +118,9 @@
 // spare returns how many VMs the pool has beyond its need; negative if it has too few.
 func (p *poolState) spare() int { return p.have - p.need }
 
-func newPlanner(pools []Pool) *planner {
-	s := &planner{}
+// NewPlan returns the plan for pools as they are reported, without moves.
+func NewPlan(pools []Pool) *Plan {
+	s := &Plan{}
 	capacity := medianCapacity(pools)
 	for i := range pools {
 		p := &poolState{Pool: &pools[i], zones: map[ident.ZoneID]int{}}
@@ -171,6 +155,22 @@
 	return s
 }
 
+// Moves returns the moves that bring the VMs to the pools that need them. The plan then counts them as made.
+func (s *Plan) Moves() []Move {
+	var moves []Move
+	for _, p := range s.byShortage() {
+		for p.spare() < 0 {
+			m, ok := s.assignVM(p)
+			if !ok {
+				break
+			}
+			moves = append(moves, m)
+		}
+	}
+	moves = append(moves, s.balanceSpares()...)
+	return append(moves, s.powerOff()...)
+}
+
 // medianCapacity returns the capacity of the VM that is the median by CPU. Targets that are to be asked and don't answer
 // don't count: their registrations may be those of another writer.
 func medianCapacity(pools []Pool) work.Resources {
@@ -190,7 +190,7 @@
 }
 
 // byShortage returns the pools whose VMs are on, those that lack the most VMs first.
-func (s *planner) byShortage() []*poolState {
+func (s *Plan) byShortage() []*poolState {
 	var out []*poolState
 	for _, p := range s.pools {
 		if !p.PoweredOff {
@@ -203,7 +203,7 @@
 
 // assignVM finds a VM for a pool that has too few: one that is powered off, or an idle one of the pool with the
 // most spare VMs. If there is neither, it drains one.
-func (s *planner) assignVM(to *poolState) (Move, bool) {
+func (s *Plan) assignVM(to *poolState) (Move, bool) {
 	var from *poolState
 	for _, p := range s.pools {
 		if p == to || len(p.idle) == 0 {
@@ -226,7 +226,7 @@
 // drainVM finds a VM without service tasks in the pool with the most spare VMs. The VM gets no new tasks and moves
 // once its tasks have ended. When one pool's peak directly follows another's, few VMs of the earlier pool are idle
 // yet.
-func (s *planner) drainVM(to *poolState) (Move, bool) {
+func (s *Plan) drainVM(to *poolState) (Move, bool) {
 	var from *poolState
 	for _, p := range s.pools {
 		if p != to && !p.PoweredOff && p.spare() > 0 && len(p.drainable) > 0 && (from == nil || p.spare() > from.spare()) {
@@ -251,7 +251,7 @@
 }
 
 // moveIdle moves the idle VM that evens out the zones of both pools best.
-func (s *planner) moveIdle(from, to *poolState, reason string) (Move, bool) {
+func (s *Plan) moveIdle(from, to *poolState, reason string) (Move, bool) {
 	best := 0
 	for i, t := range from.idle {
 		if to.zones[t.Zone]-from.zones[t.Zone] < to.zones[from.idle[best].Zone]-from.zones[from.idle[best].Zone] {
@@ -264,7 +264,7 @@
 }
 
 // recordMove counts a VM for the pool that receives it.
-func (s *planner) recordMove(t Target, from, to *poolState, reason string) Move {
+func (s *Plan) recordMove(t Target, from, to *poolState, reason string) Move {
 	from.have--
 	to.have++
 	from.zones[t.Zone]--
@@ -274,7 +274,7 @@
 
 // balanceSpares spreads the spare VMs over the pools, so that a pool has some at
 // the start of its peak, while further ones take time to move.
-func (s *planner) balanceSpares() []Move {
+func (s *Plan) balanceSpares() []Move {
 	var moves []Move
 	for {
 		var from, to *poolState
@@ -301,7 +301,7 @@
 }
 
 // powerOff moves VMs that have been idle for long and that their pool doesn't need into the powered-off pool.
-func (s *planner) powerOff() []Move {
+func (s *Plan) powerOff() []Move {
 	var moves []Move
 	if s.poweredOff == nil {
 		return nil
@@ -332,17 +332,16 @@
 func (s Size) Spare() int { return s.Have - s.Need }
 
 // Sizes returns the sizes of the pools.
-func Sizes(pools []Pool) map[ident.PoolID]Size {
+func (s *Plan) Sizes() map[ident.PoolID]Size {
 	out := map[ident.PoolID]Size{}
-	for _, p := range newPlanner(pools).pools {
+	for _, p := range s.pools {
 		out[p.ID] = Size{Have: p.have, Need: p.need, Idle: len(p.idle)}
 	}
 	return out
 }
 
 // Reserve returns, for each pool, the CPU capacity that is on its way to it or that other pools could give it.
-func Reserve(pools []Pool) map[ident.PoolID]work.Millicores {
-	s := newPlanner(pools)
+func (s *Plan) Reserve() map[ident.PoolID]work.Millicores {
 	total := work.Millicores(0)
 	idle := map[ident.PoolID]work.Millicores{}
 	for _, p := range s.pools {
--- a/internal/sizer/sizer_test.go
+++ b/internal/sizer/sizer_test.go
@@ -42,7 +42,7 @@
 	}
 	off := pool("off", 2)
 	off.PoweredOff = true
-	moves := PlanMoves([]Pool{busy, pool("idle", 8), off})
+	moves := NewPlan([]Pool{busy, pool("idle", 8), off}).Moves()
 	// 96 cores with headroom need eight VMs and a spare one; balancing may move up to balanceGap more.
 	if got, least, most := count(moves, "off", "busy")+count(moves, "idle", "busy"), 5, 5+balanceGap; got < least || got > most {
 		t.Errorf("%d VMs move to the pool that has too few, want %d to %d: %+v", got, least, most, moves)
@@ -64,7 +64,7 @@
 	p.Targets[5].Excluded = true // down for maintenance
 	off := pool("off", 3)
 	off.PoweredOff = true
-	moves := PlanMoves([]Pool{p, off})
+	moves := NewPlan([]Pool{p, off}).Moves()
 	if got := count(moves, "p", "off"); got != 0 {
 		t.Errorf("%d VMs are powered off, want none", got)
 	}
@@ -77,7 +77,7 @@
 func TestPowersOffUnneededVMs(t *testing.T) {
 	off := pool("off", 0)
 	off.PoweredOff = true
-	moves := PlanMoves([]Pool{pool("idle", 8), off})
+	moves := NewPlan([]Pool{pool("idle", 8), off}).Moves()
 	if got, want := count(moves, "idle", "off"), 7-sparesKept; got != want {
 		t.Errorf("%d VMs are powered off, want %d", got, want)
 	}
@@ -90,11 +90,11 @@
 	for i := range full.Targets {
 		full.Targets[i].IdleFor = time.Second
 	}
-	moves := PlanMoves([]Pool{full, bare})
+	moves := NewPlan([]Pool{full, bare}).Moves()
 	if got := count(moves, "full", "bare"); got < 3 || got > 5 {
 		t.Errorf("%d VMs move from a pool with eight spare VMs to one with none, want 3 to 5: %+v", got, moves)
 	}
-	if got := len(PlanMoves([]Pool{pool("a", 4), pool("b", 6)})); got != 0 {
+	if got := len(NewPlan([]Pool{pool("a", 4), pool("b", 6)}).Moves()); got != 0 {
 		t.Errorf("%d moves for a difference below balanceGap, want none", got)
 	}
 }
@@ -113,7 +113,7 @@
 	for i := range rising.Targets {
 		rising.Targets[i].Runs = 8
 	}
-	moves := PlanMoves([]Pool{fading, rising})
+	moves := NewPlan([]Pool{fading, rising}).Moves()
 	if got, want := count(moves, "fading", "rising"), 4; got != want { // demand for four VMs with headroom needs five and a spare one; it has two
 		t.Fatalf("%d moves, want %d: %+v", got, want, moves)
 	}
@@ -134,7 +134,7 @@
 	fading.Targets[4].Runs, fading.Targets[4].Cordoned = 0, true
 	fading.Running = work.Resources{CPU: 2 * testCapacity.CPU}
 	rising.Runnable = work.Resources{CPU: testCapacity.CPU}
-	moves := PlanMoves([]Pool{fading, rising})
+	moves := NewPlan([]Pool{fading, rising}).Moves()
 	if len(moves) == 0 || moves[0].Target != "fading-4" {
 		t.Errorf("moves %+v, want the drained VM first", moves)
 	}
@@ -147,11 +147,11 @@
 	off.PoweredOff = true
 	p := pool("p", 1)
 	p.ArrivalRate, p.ForecastRate, p.Runnable = 2*testCapacity.CPU, 6*testCapacity.CPU, work.Resources{CPU: testCapacity.CPU}
-	if got, want := count(PlanMoves([]Pool{p, off}), "off", "p"), 6; got != want {
+	if got, want := count(NewPlan([]Pool{p, off}).Moves(), "off", "p"), 6; got != want {
 		t.Errorf("%d VMs are moved for a forecast of six, want %d", got, want)
 	}
 	p.ForecastRate = 0
-	if got, want := count(PlanMoves([]Pool{p, off}), "off", "p"), 4; got != want {
+	if got, want := count(NewPlan([]Pool{p, off}).Moves(), "off", "p"), 4; got != want {
 		t.Errorf("%d VMs are moved for an arrival rate of two with headroom and one VM of waiting tasks, want %d", got, want)
 	}
 }
@@ -161,11 +161,11 @@
 func TestUnreachableTargetsDoNotSetTheSize(t *testing.T) {
 	busy := pool("busy", 4)
 	busy.Running = work.Resources{CPU: 32000}
-	want := Sizes([]Pool{busy})["busy"]
+	want := NewPlan([]Pool{busy}).Sizes()["busy"]
 	for range 20 {
 		busy.Targets = append(busy.Targets, Target{ID: "odd", VM: "m-odd", Capacity: work.Resources{CPU: 1, Memory: 1}})
 	}
-	if got := Sizes([]Pool{busy})["busy"]; got != want {
+	if got := NewPlan([]Pool{busy}).Sizes()["busy"]; got != want {
 		t.Errorf("size %+v beside targets that don't answer, want %+v", got, want)
 	}
 }
