jobs, space: bound what accepted jobs take in memory

Callers saw, with a crowd that submits whole and legal jobs: its jobs are accepted until the pool's owner runs out of memory, and so does each owner after it, since they read the same records.

Cause: a body is in the budget of intake only until it is answered; what it becomes was bounded by a count of 4,000 jobs a pool, and a legal job may have 256 KiB of body, 256 steps and 10,000 tasks or occurrences. Canceled jobs, which are kept for 13 s, didn't even count.

Change: internal/space counts what the jobs of a partition take in the memory of an owner, and decides whether another one finds room, before it is stored. The bound of a partition follows from the smallest VM that may own it (limits.smallest_memory, limits.partition): the next owner has to read what this one stores. Large, scheduled and service jobs leave a quarter to small ones; a job of any legal size is taken if no other such job is there. All partitions of a process may take a fifth of its memory. Finished jobs give up their tasks as soon as they are read at a takeover.

Evidence, on with memory = 96 MB, peaks of resident memory with the crowds of TestJobdAcceptedJobs, TestJobdTakeover and TestJobdSlowOwner: 207 MB (steps and dependencies), 153 (long strings), 527 (occurrences), 207 (canceled), 193 and, at the last owner, 175 (takeover), 269 (slow owner: the process takes over from it). The case "tasks" passed before, too (27 MB): tasks that were never tried are memory that the system doesn't give. Now 31 to 59 MB in all of them, and an ordinary job is accepted afterwards.

TestSizes compares what is counted with the heap.

--- /dev/null
+++ b/integ/crowd/accepted_test.go
@@ -0,0 +1,144 @@
+package crowd
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/toucanhatch/toucanhatch/platform/local"
+)
+
+const (
+	// senders submit jobs at the same time, each one after the other.
+	senders = 16
+	// firstID is the lowest id of the jobs of a crowd. Ordinary jobs have lower ones.
+	firstID = 0x100000
+	// unplaceable is an amount of CPU, in thousandths of a core, that no target has: the job waits.
+	unplaceable = 1 << 30
+)
+
+// post sends a request for a job and returns the status, 0 if there is no response.
+func post(client *http.Client, method, addr string, id int, body string) int {
+	req, err := http.NewRequestWithContext(context.Background(), method, fmt.Sprintf("http://%s/%s/%016x", addr, pool, id), strings.NewReader(body))
+	if err != nil {
+		return 0
+	}
+	req.Host = jobHost
+	req.Header.Set(local.DeadlineHeader, "3000")
+	resp, err := client.Do(req)
+	if err != nil {
+		return 0
+	}
+	defer resp.Body.Close()
+	_, _ = io.Copy(io.Discard, resp.Body)
+	return resp.StatusCode
+}
+
+// submitAll submits n jobs, each once, to the daemons in turn, and cancels each afterwards if that is asked for.
+func submitAll(t *testing.T, daemons []*jobd, n int, body string, cancel bool) {
+	t.Helper()
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: senders, Proxy: nil}, Timeout: 5 * time.Second}
+	defer client.CloseIdleConnections()
+	var next, accepted atomic.Int64
+	var all sync.WaitGroup
+	for range senders {
+		all.Go(func() {
+			for i := int(next.Add(1)) - 1; i < n; i = int(next.Add(1)) - 1 {
+				addr := daemons[i%len(daemons)].client
+				if post(client, http.MethodPost, addr, firstID+i, body) == http.StatusOK {
+					accepted.Add(1)
+				}
+				if cancel {
+					post(client, http.MethodDelete, addr, firstID+i, "")
+				}
+			}
+		})
+	}
+	all.Wait()
+	t.Logf("%d of %d jobs accepted", accepted.Load(), n)
+}
+
+// manySteps is a job with as many steps, and as many dependencies between them, as are legal.
+var manySteps = func() string {
+	const steps = 256
+	var out, earlier strings.Builder
+	for i := range steps {
+		fmt.Fprintf(&out, `,{"count":1,"cpu":%d,"depends-on":[%s]}`, unplaceable, strings.TrimPrefix(earlier.String(), ","))
+		fmt.Fprintf(&earlier, ",%d", i)
+	}
+	return `{"phases":[` + out.String()[1:] + `]}`
+}()
+
+// longStrings is a job that fills a body of legal size with a string.
+var longStrings = fmt.Sprintf(`{"phases":[{"count":1,"cpu":%d,"affinity":"%s"}]}`, unplaceable, strings.Repeat("x", 240_000))
+
+// manyTasks is a short job with as many tasks as are legal, of which some fit on the target.
+const manyTasks = `{"spec":"60000","phases":[{"count":10000,"cpu":100}]}`
+
+// manyOccurrences is a short job with as many occurrences as are legal, all of which are due.
+var manyOccurrences = fmt.Sprintf(`{"phases":[{"count":1,"cpu":%d}],"repeat-count":10000,"start-at-ms":1}`, unplaceable)
+
+// Guards against the loss of a process to jobs that it accepts: their number was bounded, and not what they take in memory.
+func TestJobdAcceptedJobs(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		count  int
+		body   string
+		cancel bool
+	}{
+		{"steps and dependencies", 400, manySteps, false},
+		{"long strings", 500, longStrings, false},
+		{"tasks", 400, manyTasks, false},
+		{"occurrences", 200, manyOccurrences, false},
+		{"steps and dependencies, canceled", 400, manySteps, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			d := startJobd(t)
+			submitAll(t, []*jobd{d}, test.count, test.body, test.cancel)
+			d.settle()
+			d.check(jobdMemory)
+			d.awaitJob(2)
+			d.check(jobdMemory)
+		})
+	}
+}
+
+// Guards against the loss of one process after the other to the same accepted jobs, which each takes over from the one before.
+func TestJobdTakeover(t *testing.T) {
+	fleet := newFleet(t)
+	daemons := []*jobd{startMember(t, fleet, "edge-1"), startMember(t, fleet, "edge-2"), startMember(t, fleet, "edge-3")}
+	submitAll(t, daemons, 400, manySteps, false)
+	last := len(daemons) - 1
+	for _, d := range daemons[:last] {
+		d.check(jobdMemory)
+		d.kill()
+	}
+	daemons[last].awaitJob(2)
+	daemons[last].settle()
+	daemons[last].check(jobdMemory)
+}
+
+// Guards against the loss of a process that passes requests on to an owner which doesn't answer.
+func TestJobdSlowOwner(t *testing.T) {
+	fleet := newFleet(t)
+	stopped, d := startMember(t, fleet, "edge-1"), startMember(t, fleet, "edge-2")
+	stopped.signal(syscall.SIGSTOP)
+	defer stopped.signal(syscall.SIGCONT)
+	gather(t, d.client, bodyCrowd, func(i int, c net.Conn) error {
+		return send(c, fmt.Appendf(nil, "%sContent-Length: %d\r\n\r\n%s", jobHeader(i), len(manySteps), manySteps))
+	})
+	d.settle()
+	d.check(jobdMemory)
+	stopped.signal(syscall.SIGCONT)
+	d.awaitJob(2)
+	d.check(jobdMemory)
+	stopped.check(jobdMemory)
+}
--- a/integ/crowd/process_test.go
+++ b/integ/crowd/process_test.go
@@ -57,9 +57,25 @@
 type process struct {
 	t      *testing.T
 	pid    int
+	proc   *os.Process
 	exited chan struct{}
 }
 
+// signal sends a signal to the process.
+func (p *process) signal(s syscall.Signal) {
+	p.t.Helper()
+	if err := p.proc.Signal(s); err != nil {
+		p.t.Fatalf("the daemon has ended: %v", err)
+	}
+}
+
+// kill ends the process at once.
+func (p *process) kill() {
+	p.t.Helper()
+	p.signal(syscall.SIGKILL)
+	<-p.exited
+}
+
 // start runs the test program as a daemon with the settings; its output goes to a file.
 func start(t *testing.T, program, settings string, more ...string) *process {
 	t.Helper()
@@ -78,7 +94,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	p := &process{t: t, pid: proc.Pid, exited: make(chan struct{})}
+	p := &process{t: t, pid: proc.Pid, proc: proc, exited: make(chan struct{})}
 	go func() {
 		defer close(p.exited)
 		_, _ = proc.Wait()
--- a/integ/crowd/toucanjobd_test.go
+++ b/integ/crowd/toucanjobd_test.go
@@ -14,6 +14,8 @@
 	// jobdMemory is the memory setting of toucanjobd, and the bound on its resident memory. The smallest VMs have 160 MB.
 	jobdMemory = 96_000_000
 	jobHost    = "desk.example"
+	pool       = "cut"
+	partitions = 12 // of the log's topics
 	// bodyLength is of legal size: a body may have 262,144 bytes.
 	bodyLength = 261_000
 	// bodyCrowd sends more than the memory setting.
@@ -34,16 +36,25 @@
 	client, readiness, peer, metrics string
 }
 
-func startJobd(t *testing.T) *jobd {
+func startJobd(t *testing.T) *jobd { return startMember(t, newFleet(t), "edge") }
+
+// newFleet starts a fake platform with one pool of one target.
+func newFleet(t *testing.T) *local.Fleet {
 	t.Helper()
-	fleet, err := local.NewFleet(t.Context(), []string{"cut"}, 1)
+	fleet, err := local.NewFleet(t.Context(), []string{pool}, 1)
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(fleet.Close)
-	fleet.Configure(context.Background(), 1, jobHost, []string{"cut"})
+	fleet.Configure(context.Background(), 1, jobHost, []string{pool})
+	return fleet
+}
+
+// startMember starts a daemon beside those that the platform has, and waits until it serves.
+func startMember(t *testing.T, fleet *local.Fleet, entry string) *jobd {
+	t.Helper()
 	d := &jobd{client: local.Addr(), readiness: local.Addr(), peer: local.Addr(), metrics: local.Addr()}
-	d.process = start(t, "toucanjobd", fmt.Sprintf(`entry = "edge"
+	d.process = start(t, "toucanjobd", fmt.Sprintf(`entry = %q
 zone = "z1"
 client = %q
 readiness = %q
@@ -52,10 +63,10 @@
 memory = %d
 [log]
 address = %q
-parts = 12
+parts = %d
 [bounds]
 stop_timeout = "400ms"
-`, d.client, d.readiness, d.peer, d.metrics, jobdMemory, fleet.Addr))
+`, entry, d.client, d.readiness, d.peer, d.metrics, jobdMemory, fleet.Addr, partitions))
 	d.awaitJob(1)
 	return d
 }
--- a/internal/admit/admit.go
+++ b/internal/admit/admit.go
@@ -7,6 +7,7 @@
 	Backlog  time.Duration // single-core CPU time of accepted work that is not done yet
 	Capacity float64       // cores of the targets that accept new tasks
 	Jobs     int           // active jobs
+	NoSpace  bool          // the memory for jobs of this kind is in use
 	Reserve  float64       // cores on their way to the pool, or that other pools could give it
 	// CapacityUnknown means that Capacity and Reserve may be far too low: this process has just taken over the pool, or no
 	// fleet controller tells it what other pools could give.
@@ -49,6 +50,7 @@
 // The limits.
 const (
 	LimitJobs  Limit = "jobs"  // the number of active jobs
+	LimitSpace Limit = "space" // the memory that the partition's jobs may take
 	LimitPool  Limit = "pool"  // the pool's backlog
 	LimitShare Limit = "share" // the tenant's backlog, behind its share of the pool; the pool's backlog is too long as well
 	LimitCap   Limit = "cap"   // the tenant's backlog, behind its cap
@@ -58,7 +60,7 @@
 	// maxLateness is the latest expected completion that is accepted, as a multiple of
 	// the objective. A result within three times the objective still has some value.
 	maxLateness = 3
-	// maxJobs bounds the memory of one pool's owner, which needs about 4 KB for each job.
+	// maxJobs bounds the processor time of one pool's owner, which visits all active jobs in each round of planning.
 	maxJobs = 4000
 	// minRetry and maxRetry bound the retry delay that clients are told.
 	minRetry = time.Second
@@ -74,6 +76,9 @@
 	if l.Jobs >= maxJobs {
 		return Decision{Reason: "too many active jobs", RetryAfter: maxRetry, Limit: LimitJobs}
 	}
+	if l.NoSpace {
+		return Decision{Reason: "the jobs of the partition take as much memory as they may", RetryAfter: maxRetry, Limit: LimitSpace}
+	}
 	if d.Service || d.Scheduled {
 		return Decision{Admit: true}
 	}
--- a/internal/jobd/daemon.go
+++ b/internal/jobd/daemon.go
@@ -24,6 +24,7 @@
 	"github.com/toucanhatch/toucanhatch/internal/panics"
 	"github.com/toucanhatch/toucanhatch/internal/plog"
 	"github.com/toucanhatch/toucanhatch/internal/shard"
+	"github.com/toucanhatch/toucanhatch/internal/space"
 	"github.com/toucanhatch/toucanhatch/internal/watch"
 	"github.com/toucanhatch/toucanhatch/internal/work"
 	"github.com/toucanhatch/toucanhatch/pkg/ident"
@@ -79,6 +80,7 @@
 	DialPeer func(ctx context.Context, network, addr string) (net.Conn, error)
 
 	service   *Service
+	space     *space.Total // that the jobs of all owned partitions take
 	owners    *ownerTable
 	standby   *standby
 	member    *group.Member
@@ -116,7 +118,8 @@
 	wg.Go(func() { failed <- serve(readinessServer, readinessListener) })
 	d.startBackground(runCtx, &wg)
 	leave := d.joinGroup(runCtx)
-	d.Logger.Info("daemon started", "entry", d.Settings.Entry, "zone", d.Settings.Zone, "client", d.Settings.ClientAddress, "peer", d.Settings.PeerAddress, "member", d.member.ID)
+	d.Logger.Info("daemon started", "entry", d.Settings.Entry, "zone", d.Settings.Zone, "client", d.Settings.ClientAddress, "peer", d.Settings.PeerAddress, "member", d.member.ID,
+		"partition_space", d.Settings.partitionSpace(), "space", d.space.Limit)
 	select {
 	case <-ctx.Done():
 	case err = <-failed:
@@ -186,6 +189,7 @@
 
 func (d *Daemon) build() {
 	s, p := d.Settings, d.Platform
+	d.space = &space.Total{Limit: space.TotalLimit(s.Memory), Changed: countSpace}
 	peerClient := &link.Client{Dial: d.DialPeer}
 	d.owners = &ownerTable{Log: p.Log, Group: groupName, PeerAddress: s.PeerAddress, PeerClient: peerClient, Clock: d.Clock, Logger: d.Logger, refresh: make(chan struct{}, 1)}
 	d.member = &group.Member{
@@ -194,7 +198,7 @@
 	}
 	d.member.Init()
 	d.service = &Service{Partitions: s.Log.Partitions, MaxRecord: cmp.Or(s.Log.MaxRecord, defaultMaxRecord), PeerAddress: s.PeerAddress, Zone: s.Zone, Member: d.member, Owners: d.owners, PeerClient: peerClient, Clock: d.Clock, Logger: d.Logger}
-	d.service.Guard = guard.New(guard.Derive(s.Limits, s.Memory), d.Logger)
+	d.service.Guard = guard.New(guard.Derive(s.Limits.Limits, s.Memory), d.Logger)
 	d.service.Config = &configuration{
 		Platform: p, ApplyWithin: s.Bounds.configApply(), SetWave: d.service.setWave, SomePeers: d.owners.SomePeers, PeerClient: peerClient,
 		Clock: d.Clock, Logger: d.Logger,
--- a/internal/jobd/metrics.go
+++ b/internal/jobd/metrics.go
@@ -8,6 +8,8 @@
 	"github.com/toucanhatch/toucanhatch/internal/hist"
 	"github.com/toucanhatch/toucanhatch/internal/jobs"
 	"github.com/toucanhatch/toucanhatch/internal/link"
+	"github.com/toucanhatch/toucanhatch/internal/space"
+	"github.com/toucanhatch/toucanhatch/pkg/ident"
 )
 
 // metricsHandler serves all counters and histograms as JSON text.
@@ -25,6 +27,7 @@
 	configAge         = expvar.NewInt("config_unconfirmed_ms") // since the configuration was known to be the newest
 	configTransfers   = expvar.NewMap("config_transfers")      // by source and outcome
 	configBytes       = expvar.NewMap("config_transfer_bytes") // of whole versions, by source and outcome
+	spaceInUse        = expvar.NewMap("space_bytes")           // by use
 	requestLatencies  hist.Set[link.Method]
 	logLatencies      hist.Set[string]
 	writeLatencies    hist.Set[string]
@@ -52,6 +55,8 @@
 	requestLatencies.Record(m, took)
 }
 
+func countSpace(u space.Use, n ident.Bytes) { spaceInUse.Add(string(u), int64(n)) }
+
 // transferOutcome is what became of a transfer of the configuration.
 type transferOutcome string
 
--- a/internal/jobd/settings.go
+++ b/internal/jobd/settings.go
@@ -11,6 +11,7 @@
 
 	"github.com/toucanhatch/toucanhatch/internal/config"
 	"github.com/toucanhatch/toucanhatch/internal/jobs"
+	"github.com/toucanhatch/toucanhatch/internal/space"
 	"github.com/toucanhatch/toucanhatch/internal/work"
 	"github.com/toucanhatch/toucanhatch/pkg/ident"
 )
@@ -36,7 +37,14 @@
 	LogLevel      string            `toml:"log_level"`
 	Bounds        BoundSettings     `toml:"bounds"`
 	Placement     PlacementSettings `toml:"placement"`
-	Limits        config.Limits     `toml:"limits"`
+	Limits        LimitSettings     `toml:"limits"`
+}
+
+// LimitSettings are limits that have defaults where they are 0; see docs/settings.md.
+type LimitSettings struct {
+	config.Limits
+	Partition      ident.Bytes `toml:"partition"`       // memory that the jobs of one partition may take
+	SmallestMemory ident.Bytes `toml:"smallest_memory"` // memory of the smallest VM that may own a partition
 }
 
 // LogSettings describe the platform's log.
@@ -167,6 +175,9 @@
 	if err := s.Limits.Check(); err != nil {
 		errs = append(errs, err)
 	}
+	if s.Limits.Partition < 0 || s.Limits.SmallestMemory < 0 {
+		addError("limits.partition = %d, limits.smallest_memory = %d: neither may be negative", s.Limits.Partition, s.Limits.SmallestMemory)
+	}
 	switch s.LogLevel {
 	case "trace", "debug", "info", "warn", "error":
 	default:
@@ -175,6 +186,11 @@
 	return errors.Join(errs...)
 }
 
+// partitionSpace returns what the jobs of one partition may take in memory.
+func (s *Settings) partitionSpace() ident.Bytes {
+	return cmp.Or(s.Limits.Partition, space.PartitionLimit(s.Limits.SmallestMemory, s.Memory))
+}
+
 // configApply returns the time within which a confirmed configuration is in force.
 func (b *BoundSettings) configApply() time.Duration {
 	return cmp.Or(b.ConfigApply.Duration, defaultApplyTime)
--- a/internal/jobd/shards.go
+++ b/internal/jobd/shards.go
@@ -12,6 +12,7 @@
 	"github.com/toucanhatch/toucanhatch/internal/panics"
 	"github.com/toucanhatch/toucanhatch/internal/plog"
 	"github.com/toucanhatch/toucanhatch/internal/shard"
+	"github.com/toucanhatch/toucanhatch/internal/space"
 	"github.com/toucanhatch/toucanhatch/internal/work"
 	"github.com/toucanhatch/toucanhatch/pkg/ident"
 )
@@ -20,7 +21,7 @@
 func (d *Daemon) startOwner(p plog.TopicPartition, epoch plog.Epoch) group.Owner {
 	s := &shard.Shard{
 		Partition: p.Partition, Partitions: d.Settings.Log.Partitions, Epoch: epoch, Log: d.Platform.Log, Targets: shardTargets{d}, MaxAppend: d.Settings.Log.MaxAppend, Adviser: d.Platform.Adviser,
-		Bounds: d.activeSettings.Load().bounds(), Clock: d.Clock, Logger: d.Logger, Events: d.logEvent,
+		Bounds: d.activeSettings.Load().bounds(), Space: space.Account{Limit: d.Settings.partitionSpace(), Total: d.space}, Clock: d.Clock, Logger: d.Logger, Events: d.logEvent,
 		Queues: d.queues, Tenants: d.tenants, RecordCaps: recordCaps(p.Partition), WallOffset: d.service.wallClock.Offset, LastConfirmed: d.member.ConfirmedAt,
 		RecordWrite:    func(took time.Duration) { writeLatencies.Record(latencyKeyAll, took) },
 		RecordTakeover: func(took time.Duration) { takeoverLatencies.Record(latencyKeyAll, took) },
--- a/internal/jobs/job.go
+++ b/internal/jobs/job.go
@@ -6,6 +6,7 @@
 
 	"github.com/toucanhatch/toucanhatch/internal/blame"
 	"github.com/toucanhatch/toucanhatch/internal/rank"
+	"github.com/toucanhatch/toucanhatch/internal/space"
 	"github.com/toucanhatch/toucanhatch/internal/work"
 	"github.com/toucanhatch/toucanhatch/pkg/ident"
 )
@@ -32,6 +33,8 @@
 	startedStored   bool          // a record that says so is stored, or about to be
 	unsettledRuns   int           // see run.unsettled
 	stripped        bool          // its tasks and specification have been dropped
+	use             space.Use     // what its space is counted as
+	size            ident.Bytes   // the space that is counted
 	zone            ident.ZoneID  // preferred zone of its tasks
 	service         bool          // it has a service step
 	class           rank.Class    // in the last round of planning in which it had a runnable task
@@ -90,7 +93,10 @@
 func (j *job) finished() bool { return j.canceled || j.failed || j.occurrencesLeft == 0 }
 
 // strip drops the tasks and the specification of a finished job, unless one of the tasks may still run.
-func (j *job) strip() {
+func (p *Pool) strip(j *job) {
+	if j.stripped {
+		return
+	}
 	for _, o := range j.occurrences {
 		for s := range o.steps {
 			for i := range o.steps[s].tasks {
@@ -101,6 +107,7 @@
 		}
 	}
 	j.occurrences, j.spec, j.stripped = nil, &work.Spec{Tenant: j.tenant}, true
+	p.occupy(j, space.Finished, finishedSize)
 }
 
 // createDueOccurrences creates the occurrences that have become due and reports whether there are any.
--- a/internal/jobs/pool.go
+++ b/internal/jobs/pool.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/toucanhatch/toucanhatch/internal/admit"
+	"github.com/toucanhatch/toucanhatch/internal/space"
 	"github.com/toucanhatch/toucanhatch/internal/work"
 	"github.com/toucanhatch/toucanhatch/pkg/ident"
 )
@@ -23,6 +24,8 @@
 	// OwnedSince is when the owner took over the pool. Until its targets have had time to report, no job is refused
 	// because of the load.
 	OwnedSince time.Time
+	// Space counts and bounds what the jobs take in memory. The pools of a partition share one; NewPool sets one without limit.
+	Space *space.Account
 
 	wallOffset     time.Duration
 	queues         map[work.QueueID]work.Queue
@@ -72,7 +75,7 @@
 // NewPool returns an empty pool.
 func NewPool(id ident.PoolID) *Pool {
 	return &Pool{
-		ID: id, nextWrite: 1,
+		ID: id, Space: &space.Account{}, nextWrite: 1,
 		queues: map[work.QueueID]work.Queue{}, tenants: map[work.TenantID]work.Tenant{}, jobs: map[work.JobID]*job{}, targets: map[work.TargetID]*target{},
 		dirty: map[work.JobID]*job{}, ratios: map[work.QueueID]*timeRatio{}, advice: map[stepKey]*stepAdvice{},
 	}
@@ -128,7 +131,9 @@
 	demand := p.demand(queue, spec)
 	first := p.addArrival(now, id, spec, demand)
 	demand.Elapsed = now.Sub(first)
+	size := jobFootprint(spec)
 	load := p.load(now, spec.Tenant, demand)
+	load.NoSpace = !p.Space.Fits(useOf(spec, size), size)
 	decision, capTimes := p.decideByCap(now, queue.ID, spec, demand, admit.Decide(load, demand))
 	if !decision.Admit {
 		p.emit(refusedEvent(id, queue.ID, spec.Tenant, load, decision))
@@ -177,7 +182,7 @@
 			}
 		}
 	}
-	delete(p.jobs, id)
+	p.remove(j)
 	delete(p.dirty, id)
 	p.removeActive(j)
 	p.emit(Event{Kind: EventWithdrawn, Job: id, Queue: j.queue})
@@ -238,6 +243,9 @@
 	p.restoreCap(r)
 	j := restoreJob(p, now, r, segments)
 	p.addJob(now, j)
+	if j.finished() && p.dirty[j.id] == nil {
+		p.strip(j)
+	}
 	p.arrivals.restore(p.wallTime(now).Sub(r.Accepted), now, r.ID, p.demand(r.Queue, &r.Spec))
 	p.replan = true
 }
@@ -256,11 +264,11 @@
 	var removed []string
 	for id, j := range p.jobs {
 		if j.finished() && j.lastWrite <= p.durable && p.wallTime(now).Sub(j.finishedAt) > maxCommandDelay {
-			j.strip()
+			p.strip(j)
 		}
 		if j.finished() && p.wallTime(now).Sub(j.finishedAt) > p.Bounds.Retention && p.dirty[id] == nil {
 			removed = append(removed, j.keys()...)
-			delete(p.jobs, id)
+			p.remove(j)
 		}
 	}
 	return removed
@@ -278,6 +286,8 @@
 
 func (p *Pool) addJob(now time.Time, j *job) {
 	p.jobs[j.id] = j
+	size := jobFootprint(j.spec)
+	p.occupy(j, useOf(j.spec, size), size)
 	if !j.finished() {
 		p.active = append(p.active, j)
 		j.share = p.shareOf(j.tenant)
@@ -285,6 +295,11 @@
 	}
 }
 
+func (p *Pool) remove(j *job) {
+	delete(p.jobs, j.id)
+	p.vacate(j)
+}
+
 // removeActive removes a finished or withdrawn job from the active jobs.
 func (p *Pool) removeActive(j *job) {
 	for i, x := range p.active {
--- /dev/null
+++ b/internal/jobs/size.go
@@ -0,0 +1,59 @@
+package jobs
+
+import (
+	"github.com/toucanhatch/toucanhatch/internal/space"
+	"github.com/toucanhatch/toucanhatch/internal/work"
+	"github.com/toucanhatch/toucanhatch/pkg/ident"
+)
+
+// What the parts of a job take in memory, with entries in maps and rounding by the allocator. TestSizes compares the sum
+// with the heap.
+const (
+	jobSize        ident.Bytes = 700
+	stepSize       ident.Bytes = 200 // in the specification
+	dependencySize ident.Bytes = 10
+	occurrenceSize ident.Bytes = 80
+	stepStateSize  ident.Bytes = 64 // in an occurrence
+	taskSize       ident.Bytes = 200
+	// finishedSize is what is left of a finished job whose tasks have been dropped.
+	finishedSize ident.Bytes = 500
+)
+
+// specSize returns what a specification takes in memory.
+func specSize(spec *work.Spec) ident.Bytes {
+	n := ident.Bytes(len(spec.Payload) + len(spec.Tenant))
+	for i := range spec.Steps {
+		s := &spec.Steps[i]
+		n += stepSize + ident.Bytes(len(s.DependsOn))*dependencySize + ident.Bytes(len(s.Label)+len(s.DataRack))*9/8
+	}
+	return n
+}
+
+// jobFootprint returns what a job takes in memory once all its occurrences are due, apart from its runs.
+func jobFootprint(spec *work.Spec) ident.Bytes {
+	occurrence := occurrenceSize + ident.Bytes(len(spec.Steps))*stepStateSize
+	return jobSize + specSize(spec) + ident.Bytes(spec.Occurrences())*occurrence + ident.Bytes(spec.Tasks())*taskSize
+}
+
+// useOf returns the use of space by an unfinished job of some size.
+func useOf(spec *work.Spec, size ident.Bytes) space.Use {
+	if size > space.SmallJob || spec.Repeat > 0 || spec.HasServiceStep() {
+		return space.Resident
+	}
+	return space.Transient
+}
+
+// occupy counts the space of a job as that of a use, and no longer as what it was counted before.
+func (p *Pool) occupy(j *job, u space.Use, size ident.Bytes) {
+	p.vacate(j)
+	j.use, j.size = u, size
+	p.Space.Add(u, size)
+}
+
+// vacate counts a job as removed.
+func (p *Pool) vacate(j *job) {
+	if j.size > 0 {
+		p.Space.Add(j.use, -j.size)
+	}
+	j.size = 0
+}
--- /dev/null
+++ b/internal/jobs/size_test.go
@@ -0,0 +1,99 @@
+package jobs
+
+import (
+	"fmt"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/toucanhatch/toucanhatch/internal/space"
+	"github.com/toucanhatch/toucanhatch/internal/work"
+	"github.com/toucanhatch/toucanhatch/pkg/ident"
+)
+
+// heapInUse returns the bytes of the heap that a collection leaves.
+func heapInUse() ident.Bytes {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	return ident.Bytes(m.HeapAlloc)
+}
+
+// largeSpecs make specifications that take much memory. Like decoded ones, they share nothing.
+var largeSpecs = map[string]func() *work.Spec{
+	"dependencies": func() *work.Spec {
+		spec := &work.Spec{}
+		for i := range 256 {
+			st := work.Step{Count: 1}
+			for d := range i {
+				st.DependsOn = append(st.DependsOn, d)
+			}
+			spec.Steps = append(spec.Steps, st)
+		}
+		return spec
+	},
+	"strings": func() *work.Spec {
+		return &work.Spec{Steps: []work.Step{{Count: 1, Label: strings.Repeat("x", 240_000)}}}
+	},
+	"tasks":       func() *work.Spec { return &work.Spec{Steps: []work.Step{{Count: 10_000}}} },
+	"occurrences": func() *work.Spec { return &work.Spec{Steps: []work.Step{{Count: 1}}, Repeat: 10_000} },
+	"small": func() *work.Spec {
+		return &work.Spec{Payload: strings.Repeat("x", 100), Steps: []work.Step{{Count: 8}, {Count: 8, DependsOn: []int{0}}}}
+	},
+}
+
+// Guards against jobs that take more memory than is counted, in each of their states, and against space that stays counted
+// once they are gone.
+func TestSizes(t *testing.T) {
+	for name, newSpec := range largeSpecs {
+		t.Run(name, func(t *testing.T) {
+			p, now := NewPool("cut"), time.Unix(1000, 0)
+			p.Bounds.Retention = time.Minute
+			counted := func() (n ident.Bytes) {
+				for _, u := range []space.Use{space.Transient, space.Resident, space.Finished, space.Runs} {
+					n += p.Space.Used(u)
+				}
+				return n
+			}
+			before := heapInUse()
+			check := func(state string) {
+				t.Helper()
+				const margin = 1 << 20 // for the rest of the test process
+				if got, want := heapInUse()-before, counted()+margin; got > want {
+					t.Errorf("%s: heap in use: got %d bytes, want at most %d", state, got, want)
+				}
+			}
+			write := func() {
+				_, seq := p.BeginWrite()
+				p.MarkDurable(now, seq)
+			}
+			for i := range 16 << 20 / jobFootprint(newSpec()) {
+				id := work.JobID(fmt.Sprintf("%016x", i))
+				if p.Submit(now, id, work.Queue{ID: "q", Pool: "cut"}, newSpec()).Refused {
+					t.Fatal("refused without a limit")
+				}
+				for _, o := range p.jobs[id].occurrences {
+					for s := range o.steps {
+						for k := range o.steps[s].tasks {
+							o.steps[s].tasks[k].attempt = 1 // the system gives memory once it is written to
+						}
+					}
+				}
+			}
+			write()
+			check("waiting")
+			for id := range p.jobs {
+				p.Cancel(now, id)
+			}
+			write()
+			check("canceled")
+			p.Expire(now.Add(maxCommandDelay + time.Second))
+			check("without tasks")
+			p.Expire(now.Add(2 * time.Minute))
+			if got := counted(); got != 0 {
+				t.Errorf("space of expired jobs: got %d bytes, want 0", got)
+			}
+		})
+	}
+}
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -16,6 +16,7 @@
 	"github.com/toucanhatch/toucanhatch/internal/permit"
 	"github.com/toucanhatch/toucanhatch/internal/plog"
 	"github.com/toucanhatch/toucanhatch/internal/quota"
+	"github.com/toucanhatch/toucanhatch/internal/space"
 	"github.com/toucanhatch/toucanhatch/internal/work"
 	"github.com/toucanhatch/toucanhatch/pkg/ident"
 )
@@ -95,6 +96,7 @@
 	MaxAppend  ident.Bytes   // limit of the log on the size of an append; 0 if there is none
 	Adviser    agent.Adviser // nil if there is no advice service
 	Bounds     jobs.Bounds
+	Space      space.Account // bounds what the jobs of the partition take in memory
 	Clock      clock.Clock
 	Logger     hclog.Logger
 	Events     func(jobs.Event)
@@ -224,6 +226,7 @@
 func (s *Shard) Run() {
 	defer close(s.done)
 	defer s.stop()
+	defer s.Space.Close()
 	panics.Catch(s.Logger, "owner of a partition", s.run)
 }
 
@@ -326,7 +329,7 @@
 	if p == nil {
 		p = &pool{Pool: jobs.NewPool(id), agents: map[work.TargetID]*agentHandle{}}
 		p.Fence, p.OwnedSince = work.Fence(s.Epoch), s.takeoverStart
-		p.Bounds = s.Bounds
+		p.Bounds, p.Space = s.Bounds, &s.Space
 		p.Bounds.InheritedLease, p.Bounds.MaxLease = previousLeaseTime, maxLease
 		p.Events = s.Events
 		p.SetWallOffset(s.WallOffset()) // stored times are wall times
--- /dev/null
+++ b/internal/space/space.go
@@ -0,0 +1,116 @@
+package space
+
+import (
+	"sync/atomic"
+
+	"github.com/toucanhatch/toucanhatch/pkg/ident"
+)
+
+// Use is what a part of the state belongs to.
+type Use string
+
+// The uses of space.
+const (
+	Transient Use = "transient" // small jobs that run at once and end by themselves
+	Resident  Use = "resident"  // the other unfinished jobs: large, scheduled or service ones
+	Finished  Use = "finished"  // jobs that have ended and are still shown
+	Runs      Use = "runs"      // runs of tasks
+)
+
+// SmallJob is the size up to which a job is small.
+const SmallJob ident.Bytes = 16 << 10
+
+const (
+	// residentPart and residentParts are the part of a limit that resident jobs may take.
+	residentPart, residentParts = 3, 4
+	// runsParts is the part of the limit that runs may take, beside the jobs that are bounded by it: more than the tasks of
+	// ordinary jobs need on a thousand targets.
+	runsParts = 2
+	// partitionParts is the part of the smallest VM's memory for one partition.
+	partitionParts = 8
+	// totalParts is the part of a process's memory for all its partitions.
+	totalParts = 5
+	// DefaultSmallest is assumed as the memory of the smallest VM.
+	DefaultSmallest ident.Bytes = 160_000_000
+)
+
+// PartitionLimit returns the limit of a partition, given the memory of the smallest VM that may own it and that of this one. Either
+// is 0 if it is not known.
+func PartitionLimit(smallest, own ident.Bytes) ident.Bytes {
+	if smallest <= 0 {
+		smallest = DefaultSmallest
+	}
+	if own > 0 {
+		smallest = min(smallest, own)
+	}
+	return smallest / partitionParts
+}
+
+// TotalLimit returns the limit of a process with some memory, for all its partitions.
+func TotalLimit(memory ident.Bytes) ident.Bytes { return memory / totalParts }
+
+// Total is the space of a process. It is safe for concurrent use once its exported fields are set.
+type Total struct {
+	Limit   ident.Bytes                // 0 sets no limit
+	Changed func(u Use, n ident.Bytes) // called with each change; may be nil
+	used    atomic.Int64
+}
+
+// Used returns the bytes in use.
+func (t *Total) Used() ident.Bytes { return ident.Bytes(t.used.Load()) }
+
+// Account is the space of one partition. It is not safe for concurrent use. Its zero value has no limit.
+type Account struct {
+	Limit ident.Bytes // 0 sets no limit
+	Total *Total      // of the process; may be nil
+	used  map[Use]ident.Bytes
+}
+
+// Add counts n more bytes of a use, or fewer if n is negative.
+func (a *Account) Add(u Use, n ident.Bytes) {
+	if a.used == nil {
+		a.used = map[Use]ident.Bytes{}
+	}
+	a.used[u] += n
+	if a.Total == nil {
+		return
+	}
+	a.Total.used.Add(int64(n))
+	if a.Total.Changed != nil {
+		a.Total.Changed(u, n)
+	}
+}
+
+// Used returns the bytes of a use.
+func (a *Account) Used(u Use) ident.Bytes { return a.used[u] }
+
+// Close gives back what the account has of the total.
+func (a *Account) Close() {
+	for u, n := range a.used {
+		a.Add(u, -n)
+	}
+}
+
+// Fits reports whether n more bytes of a use are within the limits. A resident job of any size fits if there is no other,
+// and so does a gang if nothing else runs.
+func (a *Account) Fits(u Use, n ident.Bytes) bool {
+	if u == Runs {
+		return a.Limit <= 0 || a.used[Runs] == 0 || a.used[Runs]+n <= a.Limit/runsParts
+	}
+	if u == Resident && a.used[Resident] == 0 {
+		n = min(n, SmallJob)
+	}
+	jobs := a.used[Transient] + a.used[Resident] + a.used[Finished]
+	switch {
+	case a.Limit > 0 && jobs+n > a.Limit:
+		return false
+	case u == Resident && a.Limit > 0 && a.used[Resident]+n > a.Limit/residentParts*residentPart:
+		return false
+	case a.Total == nil || a.Total.Limit <= 0:
+		return true
+	case u == Resident:
+		return a.Total.Used()+n <= a.Total.Limit/residentParts*residentPart
+	default:
+		return a.Total.Used()+n <= a.Total.Limit
+	}
+}
