admit: scheduled, service and large jobs leave a quarter of a pool's places

Callers saw: after one client has submitted 4,000 jobs that are due in an hour, every other job of the pool is refused for that hour ("too many active jobs"), also once the client has gone.

Cause: the 4,000 places of a pool are for all active jobs, whether they need anything now or not.

Change: jobs that are large, scheduled or run until they are canceled take at most 3,000 of them.

TestResidentJobsLeavePlaces states it without a network. Small jobs that never find a target may still take all places; the decision has no way yet to tell them from those that wait for a short time.

--- a/integ/crowd/accepted_test.go
+++ b/integ/crowd/accepted_test.go
@@ -88,6 +88,7 @@
 
 // Guards against the loss of a process to jobs that it accepts: their number was bounded, and not what they take in memory.
 func TestJobdAcceptedJobs(t *testing.T) {
+	inAnHour := fmt.Sprintf(`{"phases":[{"count":1,"cpu":100}],"repeat-count":1,"start-at-ms":%d}`, time.Now().Add(time.Hour).UnixMilli())
 	for _, test := range []struct {
 		name   string
 		count  int
@@ -99,6 +100,7 @@
 		{"tasks", 400, manyTasks, false},
 		{"occurrences", 200, manyOccurrences, false},
 		{"steps and dependencies, canceled", 400, manySteps, true},
+		{"due in an hour", 4500, inAnHour, false}, // all other jobs were refused for that hour, by the number of active jobs
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			d := startJobd(t)
--- a/internal/admit/admit.go
+++ b/internal/admit/admit.go
@@ -7,6 +7,7 @@
 	Backlog  time.Duration // single-core CPU time of accepted work that is not done yet
 	Capacity float64       // cores of the targets that accept new tasks
 	Jobs     int           // active jobs
+	Resident int           // those of them that are like [Demand.Resident]
 	NoSpace  bool          // the memory for jobs of this kind is in use
 	Reserve  float64       // cores on their way to the pool, or that other pools could give it
 	// CapacityUnknown means that Capacity and Reserve may be far too low: this process has just taken over the pool, or no
@@ -33,6 +34,7 @@
 	Elapsed      time.Duration // since its first submission
 	Service      bool          // it runs until it is canceled
 	Scheduled    bool          // it starts later
+	Resident     bool          // it is large, starts later or runs until it is canceled
 }
 
 // Decision is the answer to one job.
@@ -62,6 +64,8 @@
 	maxLateness = 3
 	// maxJobs bounds the processor time of one pool's owner, which visits all active jobs in each round of planning.
 	maxJobs = 4000
+	// maxResident leaves a quarter of the jobs to those that run at once.
+	maxResident = maxJobs * 3 / 4
 	// minRetry and maxRetry bound the retry delay that clients are told.
 	minRetry = time.Second
 	maxRetry = 5 * time.Second
@@ -73,7 +77,7 @@
 // lets it complete in time on the tenant's share of the capacity. The shares of
 // tenants without work are divided among the others.
 func Decide(l Load, d Demand) Decision {
-	if l.Jobs >= maxJobs {
+	if l.Jobs >= maxJobs || d.Resident && l.Resident >= maxResident {
 		return Decision{Reason: "too many active jobs", RetryAfter: maxRetry, Limit: LimitJobs}
 	}
 	if l.NoSpace {
--- a/internal/admit/admit_test.go
+++ b/internal/admit/admit_test.go
@@ -33,6 +33,27 @@
 	}
 }
 
+// Guards against jobs that run at once and are refused since scheduled, service or large ones have taken all places, and
+// against a number of jobs without bound.
+func TestResidentJobsLeavePlaces(t *testing.T) {
+	for name, test := range map[string]struct {
+		load   Load
+		demand Demand
+		want   Limit
+	}{
+		"scheduled, places left":          {Load{Jobs: maxResident, Resident: maxResident - 1}, Demand{Scheduled: true, Resident: true}, ""},
+		"scheduled, only the reserve":     {Load{Jobs: maxResident, Resident: maxResident}, Demand{Scheduled: true, Resident: true}, LimitJobs},
+		"at once, only the reserve":       {Load{Jobs: maxResident, Resident: maxResident}, Demand{}, ""},
+		"at once, no place":               {Load{Jobs: maxJobs, Resident: maxResident}, Demand{}, LimitJobs},
+		"at once, places, but no memory":  {Load{NoSpace: true}, Demand{}, LimitSpace},
+		"scheduled, places, but no space": {Load{NoSpace: true}, Demand{Scheduled: true, Resident: true}, LimitSpace},
+	} {
+		if got := Decide(test.load, test.demand); got.Limit != test.want || got.Admit != (test.want == "") {
+			t.Errorf("%s: admitted %v, limit %q; want limit %q", name, got.Admit, got.Limit, test.want)
+		}
+	}
+}
+
 // Guards against jobs that are refused for the backlog of other tenants, and against shares that are counted beyond the tenant's
 // own work. A refused client is told when the backlog that its job was refused for has drained.
 func TestTenantsShare(t *testing.T) {
--- a/internal/jobs/pool.go
+++ b/internal/jobs/pool.go
@@ -32,6 +32,7 @@
 	tenants        map[work.TenantID]work.Tenant // of the configuration in force
 	jobs           map[work.JobID]*job
 	active         []*job // the unfinished jobs
+	resident       int    // the active jobs that are resident
 	suspects       []*suspect
 	trialTargets   []*target // the targets with a trial
 	targets        map[work.TargetID]*target
@@ -132,8 +133,10 @@
 	first := p.addArrival(now, id, spec, demand)
 	demand.Elapsed = now.Sub(first)
 	size := jobFootprint(spec)
+	use := useOf(spec, size)
+	demand.Resident = use == space.Resident
 	load := p.load(now, spec.Tenant, demand)
-	load.NoSpace = !p.Space.Fits(useOf(spec, size), size)
+	load.NoSpace = !p.Space.Fits(use, size)
 	decision, capTimes := p.decideByCap(now, queue.ID, spec, demand, admit.Decide(load, demand))
 	if !decision.Admit {
 		p.emit(refusedEvent(id, queue.ID, spec.Tenant, load, decision))
@@ -290,6 +293,9 @@
 	p.occupy(j, useOf(j.spec, size), size)
 	if !j.finished() {
 		p.active = append(p.active, j)
+		if j.use == space.Resident {
+			p.resident++
+		}
 		j.share = p.shareOf(j.tenant)
 		j.createDueOccurrences(p.wallTime(now))
 	}
@@ -305,6 +311,9 @@
 	for i, x := range p.active {
 		if x == j {
 			p.active = append(p.active[:i], p.active[i+1:]...)
+			if j.use == space.Resident {
+				p.resident--
+			}
 			return
 		}
 	}
--- a/internal/jobs/tick.go
+++ b/internal/jobs/tick.go
@@ -236,7 +236,7 @@
 // load returns the backlog and the capacity of the pool, for the decision whether to admit a job of a tenant.
 func (p *Pool) load(now time.Time, tenant work.TenantID, d admit.Demand) admit.Load {
 	l := admit.Load{
-		Jobs: len(p.active), Capacity: p.usableCores(), Reserve: float64(p.reserve) / 1000,
+		Jobs: len(p.active), Resident: p.resident, Capacity: p.usableCores(), Reserve: float64(p.reserve) / 1000,
 		CapacityUnknown: !p.directed || now.Sub(p.OwnedSince) < takeoverGrace,
 	}
 	byTenant := p.newTenantLoad(tenant, d)
