jobs, agent: bound the runs of a target and of a partition

Callers saw: 32 accepted jobs of 60 bytes, with 10,000 tasks each that need no resources, took the pool's owner to 1,658 MB.

Cause: only the capacity of targets bounds how many tasks run, and tasks may need nothing, or next to nothing. All were started on one target at once: a run each, a goroutine for each command that waits for its target (4 are in flight), and a target whose every report lists all of them.

Commands wait in a queue; a sender for each of the 4 in flight takes from it, in the same order as before.

--- a/integ/crowd/accepted_test.go
+++ b/integ/crowd/accepted_test.go
@@ -83,6 +83,9 @@
 // manyTasks is a short job with as many tasks as are legal, of which some fit on the target.
 const manyTasks = `{"spec":"60000","phases":[{"count":10000,"cpu":100}]}`
 
+// smallTasks is a short job with as many tasks as are legal, all of which fit on one target.
+const smallTasks = `{"spec":"60000","phases":[{"count":10000}]}`
+
 // manyOccurrences is a short job with as many occurrences as are legal, all of which are due.
 var manyOccurrences = fmt.Sprintf(`{"phases":[{"count":1,"cpu":%d}],"repeat-count":10000,"start-at-ms":1}`, unplaceable)
 
@@ -98,6 +101,7 @@
 		{"steps and dependencies", 400, manySteps, false},
 		{"long strings", 500, longStrings, false},
 		{"tasks", 400, manyTasks, false},
+		{"tasks that all run", 40, smallTasks, false},
 		{"occurrences", 200, manyOccurrences, false},
 		{"steps and dependencies, canceled", 400, manySteps, true},
 		{"due in an hour", 4500, inAnHour, false}, // all other jobs were refused for that hour, by the number of active jobs
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -84,7 +84,8 @@
 	ackChanged     chan struct{} // receives when acked has changed
 	withheld       bool          // requests may not extend the lease
 	released       chan struct{} // receives when withheld becomes false
-	slots          chan struct{} // holds one element for each command in flight
+	queue          []queuedCommand
+	senders        int // goroutines that send commands of the queue, at most maxCommandsInFlight
 	ctx            context.Context
 	endHold        context.CancelFunc      // ends the long poll in progress; nil before the first
 	nextRefresh    time.Time               // when the last scheduled refresh runs
@@ -97,12 +98,18 @@
 	attempt work.Attempt
 }
 
-// queuedStart is a start command that waits for a slot.
+// queuedStart is a start command that waits to be sent.
 type queuedStart struct{ canceled bool }
 
+// queuedCommand is a command that waits until another one has been answered.
+type queuedCommand struct {
+	ctx context.Context //nolint:containedctx // it ends when the command is no longer to be sent
+	cmd jobs.Command
+}
+
 // New returns an agent for the target. The agent works until ctx is done.
 func New(ctx context.Context, id work.TargetID) *Agent {
-	return &Agent{ctx: ctx, ID: id, ackChanged: make(chan struct{}, 1), released: make(chan struct{}, 1), slots: make(chan struct{}, maxCommandsInFlight), queuedStarts: map[runKey]*queuedStart{}}
+	return &Agent{ctx: ctx, ID: id, ackChanged: make(chan struct{}, 1), released: make(chan struct{}, 1), queuedStarts: map[runKey]*queuedStart{}}
 }
 
 // Acknowledge allows the target to forget the ends of runs up to seq. It has no effect if the target now runs as another
@@ -358,24 +365,37 @@
 			start.canceled = true
 		}
 	}
+	a.queue = append(a.queue, queuedCommand{ctx, cmd})
+	if a.senders < maxCommandsInFlight {
+		a.senders++
+		go a.sendQueued()
+	}
 	a.mu.Unlock()
-	go func() {
-		select {
-		case a.slots <- struct{}{}:
-		case <-ctx.Done():
+}
+
+// sendQueued sends commands until none is queued. A goroutine for each command would take several times its memory.
+func (a *Agent) sendQueued() {
+	for {
+		a.mu.Lock()
+		if len(a.queue) == 0 {
+			a.queue = nil
+			a.senders--
+			a.mu.Unlock()
 			return
 		}
-		defer func() { <-a.slots }()
-		if panics.Catch(a.Logger, "order to a target", func() { a.execute(ctx, cmd) }) {
-			return
+		next := a.queue[0]
+		a.queue = a.queue[1:]
+		a.mu.Unlock()
+		if next.ctx.Err() != nil || panics.Catch(a.Logger, "order to a target", func() { a.execute(next.ctx, next.cmd) }) {
+			continue
 		}
-		if start, ok := cmd.(jobs.StartCommand); ok {
+		if start, ok := next.cmd.(jobs.StartCommand); ok {
 			a.Handler.StartAnswered(start, jobs.StartNoResponse)
 		}
-	}()
+	}
 }
 
-// execute sends a command that has got a slot, and reports its result.
+// execute sends a command, and reports its result.
 func (a *Agent) execute(ctx context.Context, cmd jobs.Command) {
 	allowed := a.Handler.Permit()
 	ctx, cancel := context.WithTimeout(permit.With(ctx, allowed), commandTimeout)
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"runtime"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -317,6 +318,32 @@
 	return jobs.StartOK, 0
 }
 
+// Guards against a goroutine for each command that waits: 30,000 starts of tasks that need nothing took 130 MB.
+func TestQueuedCommandsTakeNoGoroutines(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	const count = 1000
+	client, handler := &blockedClient{release: make(chan struct{})}, &resultHandler{results: make(chan jobs.StartResult, count)}
+	client.incarnation.Store(1)
+	a := New(ctx, "t")
+	a.Client, a.Handler, a.Clock, a.Logger, a.Lease = client, handler, clock.System(), hclog.NewNullLogger(), time.Minute
+	go a.Run()
+	time.Sleep(50 * time.Millisecond)
+	before := runtime.NumGoroutine()
+	for n := range work.Attempt(count) {
+		a.Send(ctx, jobs.StartCommand{Target: "t", Attempt: n + 1, Incarnation: 1})
+	}
+	if got, want := runtime.NumGoroutine()-before, 10*maxCommandsInFlight; got > want {
+		t.Errorf("goroutines for %d commands: got %d, want at most %d", count, got, want)
+	}
+	close(client.release)
+	for range count {
+		if got := <-handler.results; got != jobs.StartOK {
+			t.Fatalf("result: got %s, want %s", got, jobs.StartOK)
+		}
+	}
+}
+
 // Guards against a start that waits for a slot and is sent after its run was stopped, for example because the end of
 // another run of the task has been read and acknowledged meanwhile. TestRandomFaultsLaggingOwner showed this case.
 func TestStopCancelsQueuedStart(t *testing.T) {
--- a/internal/jobd/settings.go
+++ b/internal/jobd/settings.go
@@ -45,6 +45,7 @@
 	config.Limits
 	Partition      ident.Bytes `toml:"partition"`       // memory that the jobs of one partition may take
 	SmallestMemory ident.Bytes `toml:"smallest_memory"` // memory of the smallest VM that may own a partition
+	TargetTasks    int         `toml:"target_tasks"`    // tasks that one target runs at the same time
 }
 
 // LogSettings describe the platform's log.
@@ -89,6 +90,9 @@
 	defaultMaxAppend  = 2 << 20   // bytes
 	defaultApplyTime  = 2 * time.Second
 	controlModeInvoke = "invoke"
+	// defaultTargetTasks is several times as many as fit on a target of 64 cores whose tasks take half a core. A target lists
+	// all its tasks in each report.
+	defaultTargetTasks = 512
 	// maxFraming is by how much a record in an append may exceed the size by which records are limited, in bytes.
 	maxFraming = 16
 )
@@ -175,8 +179,8 @@
 	if err := s.Limits.Check(); err != nil {
 		errs = append(errs, err)
 	}
-	if s.Limits.Partition < 0 || s.Limits.SmallestMemory < 0 {
-		addError("limits.partition = %d, limits.smallest_memory = %d: neither may be negative", s.Limits.Partition, s.Limits.SmallestMemory)
+	if s.Limits.Partition < 0 || s.Limits.SmallestMemory < 0 || s.Limits.TargetTasks < 0 {
+		addError("limits.partition = %d, smallest_memory = %d, target_tasks = %d: none may be negative", s.Limits.Partition, s.Limits.SmallestMemory, s.Limits.TargetTasks)
 	}
 	switch s.LogLevel {
 	case "trace", "debug", "info", "warn", "error":
@@ -206,6 +210,6 @@
 	b := &s.Bounds
 	return jobs.Bounds{
 		StopTimeout: b.StopTimeout.Duration, RemoteCost: b.RemoteCost, Retention: b.Retention.Duration, MaxRecord: s.Log.MaxRecord,
-		LookAhead: s.Placement.LookAhead,
+		LookAhead: s.Placement.LookAhead, TargetTasks: cmp.Or(s.Limits.TargetTasks, defaultTargetTasks),
 	}
 }
--- a/internal/jobs/candidates.go
+++ b/internal/jobs/candidates.go
@@ -58,7 +58,7 @@
 		t.candidate = i
 		cs.list = append(cs.list, place.Candidate{
 			ID: t.ID, Free: t.Capacity.Minus(t.reserved), Capacity: t.Capacity, Rack: t.Rack, Zone: t.Zone, Labels: t.Labels,
-			Suspect: t.health.Suspect(now), Busy: len(t.runs) > 0, LatencySensitive: t.latencySensitiveRuns, BestEffort: t.bestEffortRuns, Pinned: t.serviceRuns > 0,
+			Suspect: t.health.Suspect(now), Busy: len(t.runs) > 0, Tasks: len(t.runs), MaxTasks: p.Bounds.TargetTasks, LatencySensitive: t.latencySensitiveRuns, BestEffort: t.bestEffortRuns, Pinned: t.serviceRuns > 0,
 		})
 		if n := len(cs.zones); n == 0 || cs.zones[n-1].zone != t.Zone {
 			cs.zones = append(cs.zones, zoneSpan{zone: t.Zone, from: i})
@@ -169,6 +169,7 @@
 		cs.updateMaxFree()
 	}
 	c.SameStep++
+	c.Tasks++
 	cs.counted = append(cs.counted, k)
 	c.Busy = true
 	c.Pinned = c.Pinned || spec.Service
--- a/internal/jobs/plan.go
+++ b/internal/jobs/plan.go
@@ -6,7 +6,9 @@
 	"time"
 
 	"github.com/toucanhatch/toucanhatch/internal/rank"
+	"github.com/toucanhatch/toucanhatch/internal/space"
 	"github.com/toucanhatch/toucanhatch/internal/work"
+	"github.com/toucanhatch/toucanhatch/pkg/ident"
 )
 
 // NeedsPlanning reports whether something has happened since the last round of planning that may let tasks start.
@@ -233,6 +235,9 @@
 		if p.exceedsCap(j, spec, 1) {
 			return
 		}
+		if !p.Space.Fits(space.Runs, runSize) {
+			return
+		}
 		k := cs.best(spec, t, advice, zone)
 		if k < 0 {
 			return // the other tasks of the step do not fit either
@@ -286,7 +291,7 @@
 			checkpoint = t.checkpoint
 		}
 	}
-	if p.exceedsCap(j, spec, len(st.tasks)) {
+	if p.exceedsCap(j, spec, len(st.tasks)) || !p.Space.Fits(space.Runs, ident.Bytes(len(st.tasks))*runSize) {
 		return
 	}
 	advice := p.adviceFor(now, j, o.number, s, cs)
--- a/internal/jobs/pool.go
+++ b/internal/jobs/pool.go
@@ -70,6 +70,7 @@
 	MaxLease       time.Duration // longest lease that the owner gives
 	Retention      time.Duration // how long a finished job remains visible
 	LookAhead      bool          // targets are reserved for large waiting tasks
+	TargetTasks    int           // tasks that one target runs at the same time, whatever they need; 0 sets no limit
 	MaxRecord      ident.Bytes   // limit of the log on the size of a record, at least [MinRecord]; 0 if there is none
 }
 
--- a/internal/jobs/run.go
+++ b/internal/jobs/run.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/toucanhatch/toucanhatch/internal/space"
 	"github.com/toucanhatch/toucanhatch/internal/work"
 )
 
@@ -114,6 +115,9 @@
 // attach assigns a run to a target and reserves its resources there.
 func (p *Pool) attach(r *run, t *target) {
 	r.target = t
+	if t.runs[r.key] == nil {
+		p.Space.Add(space.Runs, runSize)
+	}
 	t.runs[r.key] = r
 	t.orderedRuns = append(t.orderedRuns, r)
 	if r.spec != nil {
@@ -161,6 +165,7 @@
 	t := r.target
 	if t.runs[r.key] == r {
 		delete(t.runs, r.key)
+		p.Space.Add(space.Runs, -runSize)
 		t.orderedRuns = slices.DeleteFunc(t.orderedRuns, func(x *run) bool { return x == r })
 		if r.spec != nil {
 			t.reserved = t.reserved.Minus(reservation(r.spec))
--- a/internal/jobs/size.go
+++ b/internal/jobs/size.go
@@ -15,6 +15,8 @@
 	occurrenceSize ident.Bytes = 80
 	stepStateSize  ident.Bytes = 64 // in an occurrence
 	taskSize       ident.Bytes = 200
+	// runSize allows for the command, the agent and the target's next reports.
+	runSize ident.Bytes = 1000
 	// finishedSize is what is left of a finished job whose tasks have been dropped.
 	finishedSize ident.Bytes = 500
 )
--- a/internal/jobs/size_test.go
+++ b/internal/jobs/size_test.go
@@ -43,6 +43,26 @@
 	},
 }
 
+// Guards against an owner whose memory is used up by runs: of tasks that need nothing, any number fits on a target.
+func TestRunsAreBounded(t *testing.T) {
+	const targets, targetTasks = 4, 50
+	for _, step := range []work.Step{{Count: 2000}, {Count: 2000, BestEffort: true, Need: work.Resources{CPU: 100}}} {
+		for _, limit := range []ident.Bytes{0, 2 * 120 * runSize} { // the second leaves 120 runs
+			h := newHarness(t, targets)
+			h.pool.Bounds.TargetTasks, h.pool.Space.Limit = targetTasks, limit
+			h.pool.Restore(h.now, &Record{ID: "0000000000000001", Queue: testQueue, Pool: "pool", Spec: work.Spec{Steps: []work.Step{step}}, Accepted: h.now})
+			h.pool.Plan(h.now)
+			got, want := h.pool.Space.Used(space.Runs), targets*targetTasks*runSize
+			if limit > 0 {
+				want = 120 * runSize
+			}
+			if got != want {
+				t.Errorf("space of runs with a limit of %d: got %d, want %d", limit, got, want)
+			}
+		}
+	}
+}
+
 // Guards against jobs that take more memory than is counted, in each of their states, and against space that stays counted
 // once they are gone.
 func TestSizes(t *testing.T) {
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -16,6 +16,8 @@
 	Zone             ident.ZoneID
 	Labels           []string
 	SameStep         int  // tasks of the step that it already runs
+	Tasks            int  // tasks that it runs
+	MaxTasks         int  // that it may run; 0 sets no limit
 	LatencySensitive int  // latency-sensitive tasks that it runs
 	BestEffort       int  // best-effort tasks that it runs
 	Pinned           bool // runs a service task, so that its VM can't be lent to another pool
@@ -70,6 +72,8 @@
 	switch {
 	case !t.Need.Fits(c.Free):
 		return false
+	case c.MaxTasks > 0 && c.Tasks >= c.MaxTasks:
+		return false
 	case !c.hasLabel(t.Label):
 		return false
 	case t.MaxPerTarget > 0 && c.SameStep >= t.MaxPerTarget:
--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -50,3 +50,18 @@
 		t.Errorf("%d service tasks, %d of each step, pin %d VMs, want %d at most", steps*tasks, tasks, pinned, want)
 	}
 }
+
+// Guards against a target that gets any number of tasks which need none of its resources.
+func TestTargetTasks(t *testing.T) {
+	full := Candidate{ID: "full", Tasks: 512, MaxTasks: 512}
+	free := Candidate{ID: "free", Tasks: 511, MaxTasks: 512}
+	unlimited := Candidate{ID: "unlimited", Tasks: 10_000}
+	for _, test := range []struct {
+		candidate Candidate
+		want      bool
+	}{{full, false}, {free, true}, {unlimited, true}} {
+		if got := Feasible(&test.candidate, Task{}); got != test.want {
+			t.Errorf("%s: feasible: got %v, want %v", test.candidate.ID, got, test.want)
+		}
+	}
+}
