jobs, shard: an owner takes in the stored jobs for which it has space

Callers saw: where a partition's records take more memory than its owner has, whichever process takes over ends as well, or no ordinary job is accepted. Records of a version without a bound, a changed setting, or several full partitions in one process lead there.

Cause: a takeover decoded all records of a partition and kept the whole of every job, finished ones included.

Change: at a takeover, each job that a target may be running is taken in, and of the others those for which there is space; finished jobs keep their outcome. The rest is deferred: known, shown and counted, repeated submissions find it, and its records are read again once there is space, what has been due for longest first. A cancellation, or a target that reports a run or an end, brings a deferred job into memory at once; the report is not acknowledged before. New jobs come after deferred ones, but for a quarter of the bound for small ones that run at once. A job that its owner has not admitted gives up its tasks as soon as its end is durable; others keep them for 13 s as before.

--- a/integ/crowd/accepted_test.go
+++ b/integ/crowd/accepted_test.go
@@ -13,6 +13,12 @@
 	"testing"
 	"time"
 
+	"github.com/toucanhatch/toucanhatch/internal/jobs"
+	"github.com/toucanhatch/toucanhatch/internal/plog"
+	"github.com/toucanhatch/toucanhatch/internal/shard"
+	"github.com/toucanhatch/toucanhatch/internal/work"
+	"github.com/toucanhatch/toucanhatch/pkg/ident"
+	"github.com/toucanhatch/toucanhatch/platform"
 	"github.com/toucanhatch/toucanhatch/platform/local"
 )
 
@@ -132,6 +138,38 @@
 	daemons[last].check(jobdMemory)
 }
 
+// Guards against an owner that can't come up because the records of its partition, of a version without bounds, take more
+// memory than it has. All the jobs must be completed.
+func TestJobdLargeRecords(t *testing.T) {
+	const count = 300
+	fleet := newFleet(t)
+	partition := plog.TopicPartition{Topic: shard.JobsTopic, Partition: shard.PartitionOf(ident.PoolID(pool), partitions)}
+	body := fmt.Sprintf(`{"spec":"5","phases":[{"count":1,"cpu":2000,"mem-mb":64,"est-runtime-ms":5,"affinity":"%s"}]}`, strings.Repeat("x", 240_000))
+	spec, err := platform.DecodeSpec([]byte(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	queue := work.Queue{ID: "q-" + work.QueueID(pool), Pool: ident.PoolID(pool), MaxAttempts: 2, SlackFactor: 1.6, Objective: 600 * time.Millisecond}
+	for i := range count {
+		r := jobs.Record{ID: work.JobID(fmt.Sprintf("%016x", firstID+i)), Queue: queue, Pool: queue.Pool, Spec: *spec, Accepted: time.Now()}
+		value, err := r.Encode()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := fleet.Store.Log.Append(t.Context(), partition, plog.Writer{}, []plog.Record{{Key: string(r.ID), Value: value}}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	d := startMember(t, fleet, "edge")
+	d.settle()
+	d.check(jobdMemory)
+	d.awaitJob(2)
+	for i := range count {
+		d.awaitState(firstID+i, "completed")
+	}
+	d.check(jobdMemory)
+}
+
 // Guards against the loss of a process that passes requests on to an owner which doesn't answer.
 func TestJobdSlowOwner(t *testing.T) {
 	fleet := newFleet(t)
--- a/integ/crowd/process_test.go
+++ b/integ/crowd/process_test.go
@@ -172,6 +172,12 @@
 // await repeats a request, each time on a connection of its own, until its response is as wanted. Its failure is a request
 // that was never answered in many tries.
 func await(t *testing.T, what string, want func(status int) bool, newRequest func() *http.Request) {
+	t.Helper()
+	awaitBody(t, what, func(status int, _ string) bool { return want(status) }, newRequest)
+}
+
+// awaitBody is await for responses whose bodies matter.
+func awaitBody(t *testing.T, what string, want func(status int, body string) bool, newRequest func() *http.Request) {
 	t.Helper()
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, Proxy: nil}, Timeout: 10 * time.Second}
 	last := "no try"
@@ -183,7 +189,7 @@
 		}
 		body, _ := io.ReadAll(resp.Body)
 		resp.Body.Close()
-		if want(resp.StatusCode) {
+		if want(resp.StatusCode, string(body)) {
 			return
 		}
 		last = fmt.Sprintf("%d %s", resp.StatusCode, body)
--- a/integ/crowd/toucanjobd_test.go
+++ b/integ/crowd/toucanjobd_test.go
@@ -85,6 +85,20 @@
 	})
 }
 
+// awaitState waits until a job has a state.
+func (d *jobd) awaitState(id int, state string) {
+	d.t.Helper()
+	want := fmt.Sprintf(`{"state":%q}`, state)
+	awaitBody(d.t, "state of a job", func(status int, body string) bool { return status == http.StatusOK && strings.TrimSpace(body) == want }, func() *http.Request {
+		req, err := http.NewRequest(http.MethodGet, fmt.Sprintf("http://%s/%s/%016x", d.client, pool, id), nil)
+		if err != nil {
+			d.t.Fatal(err)
+		}
+		req.Host = jobHost
+		return req
+	})
+}
+
 // awaitAnswer waits until a listener answers any request.
 func (d *jobd) awaitAnswer(addr string) {
 	d.t.Helper()
--- a/internal/jobs/event.go
+++ b/internal/jobs/event.go
@@ -29,6 +29,8 @@
 	EventCheckpointIgnored EventKind = "checkpoint_ignored" // a checkpoint is too long to be stored
 	EventTrialUnanswered   EventKind = "trial_unanswered"   // a target that was to be used for the trial of a task doesn't answer
 	EventCommonLoss        EventKind = "common_loss"        // targets of a rack or zone were lost together, so that their tasks aren't blamed
+	EventDeferred          EventKind = "deferred"           // at a takeover, there is no space for a stored job
+	EventRestored          EventKind = "restored"           // a deferred job is in memory
 	EventHeldBack          EventKind = "held_back"          // a tenant's cap holds back tasks that could start
 	EventReleased          EventKind = "released"           // it doesn't any more
 	// The reservations for large tasks.
--- a/internal/jobs/job.go
+++ b/internal/jobs/job.go
@@ -35,6 +35,8 @@
 	stripped        bool          // its tasks and specification have been dropped
 	use             space.Use     // what its space is counted as
 	size            ident.Bytes   // the space that is counted
+	admitted        bool          // by this owner
+	overdrawn       bool          // restored without space
 	zone            ident.ZoneID  // preferred zone of its tasks
 	service         bool          // it has a service step
 	class           rank.Class    // in the last round of planning in which it had a runnable task
@@ -92,22 +94,24 @@
 
 func (j *job) finished() bool { return j.canceled || j.failed || j.occurrencesLeft == 0 }
 
-// strip drops the tasks and the specification of a finished job, unless one of the tasks may still run.
-func (p *Pool) strip(j *job) {
+// strip drops the tasks and the specification of a finished job, unless one of the tasks may still run. It reports whether the
+// job has none.
+func (p *Pool) strip(j *job) bool {
 	if j.stripped {
-		return
+		return true
 	}
 	for _, o := range j.occurrences {
 		for s := range o.steps {
 			for i := range o.steps[s].tasks {
 				if o.steps[s].tasks[i].run != nil {
-					return
+					return false
 				}
 			}
 		}
 	}
 	j.occurrences, j.spec, j.stripped = nil, &work.Spec{Tenant: j.tenant}, true
 	p.occupy(j, space.Finished, finishedSize)
+	return true
 }
 
 // createDueOccurrences creates the occurrences that have become due and reports whether there are any.
--- a/internal/jobs/pool.go
+++ b/internal/jobs/pool.go
@@ -31,6 +31,8 @@
 	queues         map[work.QueueID]work.Queue
 	tenants        map[work.TenantID]work.Tenant // of the configuration in force
 	jobs           map[work.JobID]*job
+	deferred       map[work.JobID]*deferredJob
+	ended          []*job // finished jobs that this owner has not admitted, until their tasks are dropped
 	active         []*job // the unfinished jobs
 	resident       int    // the active jobs that are resident
 	suspects       []*suspect
@@ -78,7 +80,7 @@
 func NewPool(id ident.PoolID) *Pool {
 	return &Pool{
 		ID: id, Space: &space.Account{}, nextWrite: 1,
-		queues: map[work.QueueID]work.Queue{}, tenants: map[work.TenantID]work.Tenant{}, jobs: map[work.JobID]*job{}, targets: map[work.TargetID]*target{},
+		queues: map[work.QueueID]work.Queue{}, tenants: map[work.TenantID]work.Tenant{}, jobs: map[work.JobID]*job{}, deferred: map[work.JobID]*deferredJob{}, targets: map[work.TargetID]*target{},
 		dirty: map[work.JobID]*job{}, ratios: map[work.QueueID]*timeRatio{}, advice: map[stepKey]*stepAdvice{},
 	}
 }
@@ -137,7 +139,7 @@
 	use := useOf(spec, size)
 	demand.Resident = use == space.Resident
 	load := p.load(now, spec.Tenant, demand)
-	load.NoSpace = !p.Space.Fits(use, size)
+	load.NoSpace = !p.Space.Admits(use, size)
 	decision, capTimes := p.decideByCap(now, queue.ID, spec, demand, admit.Decide(load, demand))
 	if !decision.Admit {
 		p.emit(refusedEvent(id, queue.ID, spec.Tenant, load, decision))
@@ -145,6 +147,8 @@
 	}
 	j := newJob(id, queue.ID, spec, p.wallTime(first), p.tasksPerSegment())
 	p.addJob(now, j)
+	p.Space.AddAdmitted(size)
+	j.admitted = true
 	p.workload.noteAdmitted(j, demand, capTimes)
 	j.firstWrite = p.nextWrite
 	p.markDirty(j)
@@ -161,7 +165,7 @@
 }
 
 // Known reports whether the pool has a job with this id, stored or about to be stored.
-func (p *Pool) Known(id work.JobID) bool { return p.jobs[id] != nil }
+func (p *Pool) Known(id work.JobID) bool { return p.jobs[id] != nil || p.deferred[id] != nil }
 
 // StoredBy returns the write that makes a known job durable.
 func (p *Pool) StoredBy(id work.JobID) WriteSeq {
@@ -192,7 +196,7 @@
 	p.emit(Event{Kind: EventWithdrawn, Job: id, Queue: j.queue})
 }
 
-// Cancel cancels a job; known is false if no such job exists. The client may be answered once the returned write is
+// Cancel cancels a job that is not deferred; known is false if no such job exists. The client may be answered once the returned write is
 // confirmed.
 func (p *Pool) Cancel(now time.Time, id work.JobID) (write WriteSeq, known bool) {
 	j := p.jobs[id]
@@ -210,6 +214,12 @@
 
 // State returns the state of a job as clients may see it when all writes up to durable are confirmed.
 func (p *Pool) State(id work.JobID, durable WriteSeq) (work.JobState, bool) {
+	if d := p.deferred[id]; d != nil {
+		if d.begun {
+			return work.Active, true
+		}
+		return work.Queued, true
+	}
 	j := p.jobs[id]
 	if j == nil || j.firstWrite > durable {
 		return "", false
@@ -238,10 +248,15 @@
 			n++
 		}
 	}
+	for _, d := range p.deferred {
+		if d.queue == queue && !d.begun {
+			n++
+		}
+	}
 	return n
 }
 
-// Restore adds a job from its records. Call it before the first event.
+// Restore adds a job from its records, whether there is space for it or not.
 func (p *Pool) Restore(now time.Time, r *Record, segments ...*SegmentRecord) {
 	p.addUnknownQueue(r.Queue)
 	p.restoreCap(r)
@@ -325,6 +340,9 @@
 	j.finishedAt = p.wallTime(now)
 	p.markDirty(j)
 	p.removeActive(j)
+	if !j.admitted {
+		p.ended = append(p.ended, j)
+	}
 	for _, o := range j.occurrences {
 		for s := range o.steps {
 			for i := range o.steps[s].tasks {
--- a/internal/jobs/pool_test.go
+++ b/internal/jobs/pool_test.go
@@ -94,14 +94,22 @@
 // restoreAll restores the jobs of a store, which holds the newest record of each key.
 func restoreAll(p *Pool, now time.Time, store map[string][]byte) error {
 	stored := Stored{}
+	after := ""
 	for _, key := range slices.Sorted(maps.Keys(store)) {
+		known := len(stored)
 		if err := stored.Add(Entry{key, store[key]}); err != nil {
 			return fmt.Errorf("record %s: %w", key, err)
 		}
+		if len(stored) > known {
+			stored[JobOf(key)].After = after
+		}
+		after = key
 	}
 	for _, id := range slices.Sorted(maps.Keys(stored)) {
-		if r := stored[id].Record; r != nil {
-			p.Restore(now, r, stored[id].Segments...)
+		if j := stored[id]; j.Record != nil {
+			j.Reserve(p.Space)
+			j.Release(p.Space)
+			p.RestoreStored(now, j)
 		}
 	}
 	return nil
--- a/internal/jobs/sim_test.go
+++ b/internal/jobs/sim_test.go
@@ -152,7 +152,7 @@
 		pool: p, fence: s.fence, leaseExpires: map[work.TargetID]time.Time{}, reachable: map[work.TargetID]bool{},
 		incarnations: map[work.TargetID]int64{}, expired: map[work.TargetID]bool{}, reportPending: map[work.TargetID]bool{}, stopped: map[runKey]bool{},
 	}
-	if err := restoreAll(p, s.now, s.store); err != nil {
+	if err := s.restoreWithoutSpace(p); err != nil {
 		s.t.Fatal(err)
 	}
 	for _, t := range s.targets {
@@ -216,6 +216,9 @@
 	if s.listsVMs {
 		s.listDown()
 	}
+	if s.deferring && s.rand(8) == 0 {
+		s.restoreDeferred()
+	}
 	s.check()
 }
 
@@ -446,7 +449,7 @@
 	case 7:
 		for _, id := range s.jobIDs() {
 			if s.rand(4) == 0 {
-				s.owner.pool.Cancel(s.now, id)
+				s.cancel(id)
 			}
 		}
 	case 8:
@@ -581,6 +584,7 @@
 	maxEnds         int  // ends that a target lists in one report; 0 sets no limit
 	segmentTasks    int  // tasks in a segment, of whose records a write may store only some; 0 if jobs have one record
 	capped          bool // all jobs belong to a tenant with a cap
+	deferring       bool // a new owner has no space for the stored jobs
 	// faults are the faults to choose from; nil stands for the first ten.
 	faults []int
 	rounds int // jobs and faults; 0 stands for 12
--- a/internal/jobs/size.go
+++ b/internal/jobs/size.go
@@ -57,5 +57,11 @@
 	if j.size > 0 {
 		p.Space.Add(j.use, -j.size)
 	}
-	j.size = 0
+	if j.admitted {
+		p.Space.AddAdmitted(-j.size)
+	}
+	if j.overdrawn {
+		p.Space.AddOverdrawn(-j.size)
+	}
+	j.size, j.admitted, j.overdrawn = 0, false, false
 }
--- a/internal/jobs/stored.go
+++ b/internal/jobs/stored.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"strings"
 
+	"github.com/toucanhatch/toucanhatch/internal/space"
 	"github.com/toucanhatch/toucanhatch/internal/work"
 	"github.com/toucanhatch/toucanhatch/pkg/ident"
 )
@@ -31,21 +32,33 @@
 type StoredJob struct {
 	Record    *Record // nil if the store has none that can be decoded
 	Segments  []*SegmentRecord
-	Undecoded bool // the store has records of the job that can't be decoded, so that the others are a part of it
+	Undecoded bool   // the store has records of the job that can't be decoded, so that the others are a part of it
+	After     string // the key that precedes those of the job in the store
+
+	use      space.Use
+	size     ident.Bytes  // reserved
+	reduced  bool         // it has no tasks
+	deferred *deferredJob // nil unless there is no space for it
 }
 
 // Stored holds the records that have been read from the store, by job.
 type Stored map[work.JobID]*StoredJob
 
+// JobOf returns the job to which the record with a key belongs.
+func JobOf(key string) work.JobID {
+	id, _, _ := strings.Cut(key, keySeparator)
+	return work.JobID(id)
+}
+
 // Add decodes an entry and adds it. An error leaves the entries added before as they are.
 func (s Stored) Add(e Entry) error {
-	id, _, segment := strings.Cut(e.Key, keySeparator)
-	j := s[work.JobID(id)]
+	id := JobOf(e.Key)
+	j := s[id]
 	if j == nil {
 		j = &StoredJob{}
-		s[work.JobID(id)] = j
+		s[id] = j
 	}
-	if segment {
+	if e.Key != recordKey(id) {
 		r, err := DecodeSegment(e.Value)
 		if err != nil {
 			j.Undecoded = true
--- a/internal/jobs/target.go
+++ b/internal/jobs/target.go
@@ -258,10 +258,16 @@
 	}
 	t.lastHeard, t.unreachable = now, false
 	for i := range report.Running {
-		p.handleRunStatus(now, t, &report.Running[i])
+		if !p.Want(report.Running[i].Task.Job) { // the next report shows the run again
+			p.handleRunStatus(now, t, &report.Running[i])
+		}
 	}
 	for i := range report.Ended {
 		if end := &report.Ended[i]; end.Seq > t.lastEndSeq {
+			if p.Want(end.Task.Job) { // neither this end nor later ones are acknowledged before the job is in memory
+				report.MoreEnds = true
+				break
+			}
 			t.lastEndSeq = end.Seq
 			p.handleEnd(now, t, end)
 		}
--- a/internal/jobs/tenant.go
+++ b/internal/jobs/tenant.go
@@ -7,5 +7,8 @@
 	if j := p.jobs[id]; j != nil {
 		return j.tenant, true
 	}
+	if d := p.deferred[id]; d != nil {
+		return d.tenant, true
+	}
 	return "", false
 }
--- a/internal/jobs/write.go
+++ b/internal/jobs/write.go
@@ -94,6 +94,7 @@
 	p.awaitingWrite = kept
 	p.releaseAcks()
 	p.releaseLeases()
+	p.stripEnded()
 }
 
 // markDirty marks a job's record as changed. A stripped job is not stored again, since its stored records are still
--- a/internal/shard/requests.go
+++ b/internal/shard/requests.go
@@ -69,11 +69,7 @@
 // Cancel cancels a job and returns once that is durable. known is false if there is no such job for the caller.
 func (s *Shard) Cancel(ctx context.Context, caller work.Caller, pool ident.PoolID, id work.JobID) (known bool, err error) {
 	reply := make(chan error, 1)
-	err = s.call(ctx, reply, func(now time.Time) {
-		if s.undecoded[id] {
-			reply <- ErrUndecoded
-			return
-		}
+	cancel := func(now time.Time) {
 		p := s.pool(pool)
 		var writeSeq jobs.WriteSeq
 		if p.sees(caller, id) {
@@ -84,6 +80,17 @@
 			return
 		}
 		s.replyWhenDurable(p, waiter{writeSeq: writeSeq, job: id, reply: reply})
+	}
+	err = s.call(ctx, reply, func(now time.Time) { //nolint:contextcheck // a read of deferred jobs outlives the request
+		switch p := s.pool(pool); {
+		case s.undecoded[id]:
+			reply <- ErrUndecoded
+		case p.sees(caller, id) && p.Want(id):
+			s.awaitingRestore[id] = append(s.awaitingRestore[id], cancel)
+			s.restoreDeferred()
+		default:
+			cancel(now)
+		}
 	})
 	return known, err
 }
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -121,16 +121,19 @@
 	ctx                  context.Context
 	stop                 context.CancelFunc
 	pools                map[ident.PoolID]*pool
-	writes               delay.Tracker       // of the durations of writes
-	inFlight             *write              // set while no other write may start: also for refusedPause after a refusal
-	proofWaiters         []chan error        // requests that wait for a write that proves the ownership
-	seq                  int64               // of the last append
-	tombstones           []plog.Record       // remove the records of expired jobs
-	undecoded            map[work.JobID]bool // stored jobs of which a record can't be decoded
-	partlyRead           bool                // there are stored records that can't be asked for
-	calibrations         []*jobs.Calibration // stored by the previous owner
-	lastCalibrationWrite time.Time           // when the pools' calibrations were last written
-	lastExpiry           time.Time           // when finished jobs were last searched for expired ones
+	writes               delay.Tracker                        // of the durations of writes
+	inFlight             *write                               // set while no other write may start: also for refusedPause after a refusal
+	proofWaiters         []chan error                         // requests that wait for a write that proves the ownership
+	seq                  int64                                // of the last append
+	tombstones           []plog.Record                        // remove the records of expired jobs
+	undecoded            map[work.JobID]bool                  // stored jobs of which a record can't be decoded
+	partlyRead           bool                                 // there are stored records that can't be asked for
+	reserving            work.JobID                           // at the takeover, the job whose records are being read
+	restoring            bool                                 // the records of deferred jobs are being read
+	awaitingRestore      map[work.JobID][]func(now time.Time) // requests that need a deferred job
+	calibrations         []*jobs.Calibration                  // stored by the previous owner
+	lastCalibrationWrite time.Time                            // when the pools' calibrations were last written
+	lastExpiry           time.Time                            // when finished jobs were last searched for expired ones
 	takeoverStart        time.Time
 	allowances           quota.Allowances
 	capsLog              capsLog
@@ -181,6 +184,7 @@
 		s.Logger.Info("the pace of the log has changed", "partition", s.Partition, "state", string(state), "limit", limit)
 	}}
 	s.pools, s.undecoded = map[ident.PoolID]*pool{}, map[work.JobID]bool{}
+	s.awaitingRestore = map[work.JobID][]func(now time.Time){}
 }
 
 // Stop ends the shard and returns when it no longer acts. Changes are written first if the log responds within
@@ -256,7 +260,7 @@
 	for _, p := range s.pools {
 		s.refresh(now, p)
 	}
-	s.Logger.Info("partition taken over", "partition", s.Partition, "epoch", s.Epoch, "jobs", len(stored), "took", now.Sub(s.takeoverStart))
+	s.Logger.Info("partition taken over", "partition", s.Partition, "epoch", s.Epoch, "jobs", len(stored), "deferred", s.deferred(), "took", now.Sub(s.takeoverStart))
 	if s.RecordTakeover != nil {
 		s.RecordTakeover(now.Sub(s.takeoverStart))
 	}
@@ -356,6 +360,7 @@
 func (s *Shard) tick(now time.Time) {
 	s.refuseQueued(now)
 	s.recordCaps(now)
+	s.restoreDeferred()
 	for _, p := range s.pools {
 		s.refresh(now, p)
 		p.Tick(now)
--- a/internal/shard/write.go
+++ b/internal/shard/write.go
@@ -314,16 +314,18 @@
 			return nil, err
 		}
 		for _, r := range page.Records {
+			before := after
 			after = r.Key
 			if r.Key == proofKey || s.readCalibration(r) || s.readAllowance(r) {
 				continue
 			}
-			if err := stored.Add(jobs.Entry(r)); err != nil {
-				s.Logger.Error("cannot decode job record", "partition", s.Partition, "key", r.Key, "error", err)
-			}
+			s.addStored(stored, r, before)
 		}
 		s.partlyRead = s.partlyRead || page.Partial
 		if !page.More {
+			if last := stored[s.reserving]; last != nil {
+				last.Reserve(&s.Space)
+			}
 			if s.partlyRead {
 				s.Logger.Error("a part of the stored jobs can't be read; none is denied", "partition", s.Partition, "read", len(stored))
 			}
@@ -332,6 +334,23 @@
 	}
 }
 
+// addStored adds a record of a job to those read so far, and reserves space for the job before it, whose records have all been
+// read.
+func (s *Shard) addStored(stored jobs.Stored, r plog.Record, before string) {
+	id, known := jobs.JobOf(r.Key), len(stored)
+	if err := stored.Add(jobs.Entry(r)); err != nil {
+		s.Logger.Error("cannot decode job record", "partition", s.Partition, "key", r.Key, "error", err)
+	}
+	if len(stored) == known {
+		return
+	}
+	stored[id].After = before
+	if last := stored[s.reserving]; last != nil {
+		last.Reserve(&s.Space)
+	}
+	s.reserving = id
+}
+
 // restore passes the stored jobs to their pools. Segments without a record are removed: they remain of a job whose
 // removal, or whose submission, was stored in part. Jobs of which a record can't be decoded are left to a process that can.
 func (s *Shard) restore(now time.Time, stored jobs.Stored) {
@@ -342,7 +361,9 @@
 			continue
 		}
 		if j.Record != nil {
-			s.pool(j.Record.Pool).Restore(now, j.Record, j.Segments...)
+			j.Release(&s.Space)
+			p := s.pool(j.Record.Pool)
+			p.RestoreStored(now, j)
 			continue
 		}
 		for _, segment := range j.Segments {
--- a/internal/space/space.go
+++ b/internal/space/space.go
@@ -64,6 +64,10 @@
 	Limit ident.Bytes // 0 sets no limit
 	Total *Total      // of the process; may be nil
 	used  map[Use]ident.Bytes
+
+	deferred  int         // stored jobs that are not in memory
+	admitted  ident.Bytes // of jobs that this owner has admitted
+	overdrawn ident.Bytes // of jobs that were restored without space
 }
 
 // Add counts n more bytes of a use, or fewer if n is negative.
@@ -91,6 +95,29 @@
 	}
 }
 
+// AddDeferred counts n more stored jobs for which there was no space at the takeover, or fewer if n is negative.
+func (a *Account) AddDeferred(n int) { a.deferred += n }
+
+// AddAdmitted counts n more bytes of jobs that this owner has admitted, which Add counts as well.
+func (a *Account) AddAdmitted(n ident.Bytes) { a.admitted += n }
+
+// AddOverdrawn counts n more bytes of jobs that were restored without space, which Add counts as well.
+func (a *Account) AddOverdrawn(n ident.Bytes) { a.overdrawn += n }
+
+// MayOverdraw reports whether a stored job of n bytes may be restored although there is no space.
+func (a *Account) MayOverdraw(n ident.Bytes) bool {
+	return a.overdrawn == 0 || a.overdrawn+n <= a.Limit/residentParts*(residentParts-residentPart)
+}
+
+// Admits reports whether a new job of n bytes may be admitted. While stored jobs are deferred, they have all but the part that
+// is kept for transient jobs.
+func (a *Account) Admits(u Use, n ident.Bytes) bool {
+	if a.deferred > 0 && a.Limit > 0 && (u != Transient || a.admitted+n > a.Limit/residentParts*(residentParts-residentPart)) {
+		return false
+	}
+	return a.Fits(u, n)
+}
+
 // Fits reports whether n more bytes of a use are within the limits. A resident job of any size fits if there is no other,
 // and so does a gang if nothing else runs.
 func (a *Account) Fits(u Use, n ident.Bytes) bool {
--- a/internal/space/space_test.go
+++ b/internal/space/space_test.go
@@ -52,6 +52,39 @@
 	}
 }
 
+// Guards against new jobs that take the space which stored ones wait for, and against any number of stored jobs that are
+// restored without space because clients cancel them.
+func TestDeferredComeFirst(t *testing.T) {
+	a := Account{Limit: 100 * kib}
+	a.AddDeferred(1)
+	for _, test := range []struct {
+		use            Use
+		size, admitted ident.Bytes
+		want           bool
+	}{
+		{Transient, kib, 0, true},
+		{Transient, kib, 25 * kib, false},
+		{Resident, kib, 0, false},
+	} {
+		a.AddAdmitted(test.admitted)
+		if got := a.Admits(test.use, test.size); got != test.want {
+			t.Errorf("%s job of %d bytes beside %d of new jobs: admitted %v, want %v", test.use, test.size, test.admitted, got, test.want)
+		}
+		a.AddAdmitted(-test.admitted)
+	}
+	a.AddDeferred(-1)
+	if !a.Admits(Resident, kib) {
+		t.Error("a resident job once no job is deferred: got a refusal, want it admitted")
+	}
+	if !a.MayOverdraw(500 * kib) {
+		t.Error("one job without space: got a refusal, want it restored")
+	}
+	a.AddOverdrawn(20 * kib)
+	if got, want := a.MayOverdraw(6*kib), false; got != want {
+		t.Errorf("more than a quarter without space: got %v, want %v", got, want)
+	}
+}
+
 // Guards against a partition that the smallest VM can't own, and against one that is bounded by a large VM.
 func TestPartitionLimit(t *testing.T) {
 	for _, test := range []struct{ smallest, own, want ident.Bytes }{
