jobs: store a long specification once, not with each task

Callers would see: a client that keeps a few jobs with long specifications and up to 64 tasks busy makes the owner write each specification again with every start and every end of a task, so that other jobs wait behind these writes, and the log fills up.

Cause: the state of up to 64 tasks is part of the job's record, which also holds the specification.

Change: a new job whose specification takes more than 16 KiB stores the state of its tasks in segments, as jobs with more than 64 tasks do. It has two at least, so that earlier versions read it rightly. Jobs that are stored already stay as they are.

--- a/internal/jobs/pool.go
+++ b/internal/jobs/pool.go
@@ -146,7 +146,7 @@
 		p.emit(refusedEvent(id, queue.ID, spec.Tenant, load, decision))
 		return SubmitResult{Refused: true, RetryAfter: decision.RetryAfter}
 	}
-	j := newJob(id, queue.ID, spec, p.wallTime(first), p.tasksPerSegment())
+	j := newJob(id, queue.ID, spec, p.wallTime(first), p.segmentTasksOf(spec))
 	p.addJob(now, j)
 	p.Space.AddAdmitted(size)
 	j.admitted = true
--- a/internal/jobs/segment.go
+++ b/internal/jobs/segment.go
@@ -64,6 +64,20 @@
 	stored        map[int]bool // segments of which a record may be in the store
 }
 
+// maxInlineSpec is the size up to which a specification is stored with the state of its tasks, and so again with each change of
+// that.
+const maxInlineSpec ident.Bytes = 16 << 10
+
+// segmentTasksOf returns the number of tasks in a segment of a new job. A job with a long specification has two segments at
+// least, since earlier versions take a job for one without segments if its tasks fit into one.
+func (p *Pool) segmentTasksOf(spec *work.Spec) int {
+	size, tasks := p.tasksPerSegment(), spec.Tasks()
+	if tasks > 1 && specSize(spec) > maxInlineSpec {
+		size = min(size, (tasks+1)/2)
+	}
+	return size
+}
+
 // newSegmentation returns nil if the tasks of the job fit into one segment.
 func newSegmentation(spec *work.Spec, size int) *segmentation {
 	if spec.Tasks() <= size {
--- a/internal/jobs/segment_test.go
+++ b/internal/jobs/segment_test.go
@@ -266,3 +266,50 @@
 		t.Errorf("checkpoint of %d bytes, want the last one that can be stored", len(got))
 	}
 }
+
+// Guards against a long specification that is stored again with each start and each end of a task: a client that keeps a few
+// such jobs busy would use up the bandwidth of the log. The state must be read back as it was.
+func TestLongSpecificationIsStoredSeldom(t *testing.T) {
+	const tasks, length = 60, 100_000
+	h := newHarness(t, 1)
+	h.submit(work.Step{Count: tasks, Need: work.Resources{CPU: 8000}, Estimate: time.Second, DataRack: strings.Repeat("x", length)})
+	written := 0
+	write := func() {
+		changes, seq := h.pool.BeginWrite()
+		for i := range changes {
+			for _, e := range entries(t, &changes[i]) {
+				h.store[e.Key] = e.Value
+				written += len(e.Value)
+			}
+		}
+		h.pool.MarkDurable(h.now, seq)
+	}
+	for range 10 * tasks {
+		h.pool.Plan(h.now)
+		write()
+		for _, cmd := range h.pool.TakeCommands() {
+			if start, ok := cmd.(StartCommand); ok {
+				h.pool.HandleStartResult(h.now, start.Target, start.Task, start.Attempt, StartOK)
+				h.endRun(start.Target, start.Task, start.Attempt, work.EndDone)
+			}
+		}
+		write()
+		if n := h.pool.jobs[largeID].occurrencesLeft; n == 0 {
+			break
+		}
+		next := NewPool("pool")
+		if err := restoreAll(next, h.now, h.store); err != nil {
+			t.Fatal(err)
+		}
+		got, want := next.jobs[largeID].occurrences[0].steps[0].tasksLeft, h.pool.jobs[largeID].occurrences[0].steps[0].tasksLeft
+		if got != want {
+			t.Fatalf("tasks left for the next owner: got %d, want %d", got, want)
+		}
+	}
+	if state, _ := h.pool.State(largeID, h.pool.durable); state != work.Completed {
+		t.Fatalf("state: got %s, want %s", state, work.Completed)
+	}
+	if got, want := written, 5*length; got > want {
+		t.Errorf("bytes written for a job with a specification of %d: got %d, want at most %d", length, got, want)
+	}
+}
