jobs: forget start commands that can no longer arrive

Callers don't see it: the owner's memory grows with each start command that a target has left unanswered, for as long as the target lives. A task that its target is slow to start, again and again, is enough.

Cause: such commands are kept so that the next incarnation of the target can be told to refuse them, each for 13 s, and were looked at only when the target restarted.

Change: noting one drops those whose time is over.

Found by reading.

--- a/internal/jobs/pool_test.go
+++ b/internal/jobs/pool_test.go
@@ -527,3 +527,19 @@
 		t.Errorf("started %+v, want the tasks of job %s first, which was submitted first", started, id)
 	}
 }
+
+// Guards against an owner's memory growing with each start command that a slow target has not answered.
+func TestUnansweredStartsAreForgotten(t *testing.T) {
+	h := newHarness(t, 1)
+	h.submit(work.Step{Count: 1, Need: work.Resources{CPU: 1000}, Estimate: time.Second})
+	for range 100 {
+		start := h.startWithoutResponse()
+		h.pool.TakeCommands() // the stop
+		h.pool.HandleStopResult(h.now, start.Target, start.Task, start.Attempt, true)
+		h.now = h.now.Add(2 * time.Second)
+		h.deliverReport("t0")
+	}
+	if got, want := len(h.pool.targets["t0"].unansweredStarts), 10; got > want {
+		t.Errorf("start commands that may still arrive after 13 s: got %d, want at most %d", got, want)
+	}
+}
--- a/internal/jobs/run.go
+++ b/internal/jobs/run.go
@@ -157,7 +157,7 @@
 // detach frees the resources of a run, and lets its task wait for a new run unless it is done.
 func (p *Pool) detach(r *run) {
 	if r.startMayArrive {
-		r.target.unansweredStarts = append(r.target.unansweredStarts, unansweredStart{r.key, r.conclusiveSince.Add(maxCommandDelay)})
+		r.target.noteUnansweredStart(r)
 	}
 	if r.state == runPlanned {
 		r.state = runStopping // its start command is never sent
--- a/internal/jobs/target.go
+++ b/internal/jobs/target.go
@@ -66,6 +66,12 @@
 // maxCommandDelay is how long a command may be in flight; the platform specifies up to 12 s.
 const maxCommandDelay = 13 * time.Second
 
+// noteUnansweredStart notes the start command of a run that is about to be detached, and forgets those that can't arrive any more.
+func (t *target) noteUnansweredStart(r *run) {
+	t.unansweredStarts = slices.DeleteFunc(t.unansweredStarts, func(s unansweredStart) bool { return s.until.Before(r.conclusiveSince) })
+	t.unansweredStarts = append(t.unansweredStarts, unansweredStart{r.key, r.conclusiveSince.Add(maxCommandDelay)})
+}
+
 // pendingAck says that the ends up to seq may be acknowledged once a write is durable.
 type pendingAck struct {
 	seq   int64
