soak: owners that have little space for jobs

Cause: no run over processes showed jobs that are refused for want of space, or deferred at a takeover, beside kills, pauses, cuts and reloads.

The checks are those of TestSoak: no accepted job is lost, no refused one runs, nothing runs twice.

--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -75,11 +75,11 @@
 // served, and tasks that crash target after target.
 func TestSoak(t *testing.T) {
 	for _, k := range knownSeeds {
-		t.Run(fmt.Sprintf("known-%d", k.seed), func(t *testing.T) { runSeed(t, k.seed, nil) })
+		t.Run(fmt.Sprintf("known-%d", k.seed), func(t *testing.T) { runSeed(t, k.seed, nil, "") })
 	}
 	for i := range *seeds {
 		seed := *first + uint64(i)
-		t.Run(fmt.Sprint(seed), func(t *testing.T) { runSeed(t, seed, nil) })
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { runSeed(t, seed, nil, "") })
 	}
 }
 
@@ -100,7 +100,7 @@
 }
 
 // newDaemonProcess starts the relay and the gate to the store, and writes the settings of a daemon.
-func newDaemonProcess(t *testing.T, index int, fleet *local.Fleet) *daemonProcess {
+func newDaemonProcess(t *testing.T, index int, fleet *local.Fleet, settings string) *daemonProcess {
 	t.Helper()
 	gate, err := fleet.AddGateOver(t.Context(), local.NewLink(slowLink))
 	if err != nil {
@@ -115,7 +115,7 @@
 	go func() { _ = p.relay.Serve(l) }() // ends with the listener
 	p.settingsPath = filepath.Join(p.dir, "settings.toml")
 	text := fmt.Sprintf("entry = \"entry-%d\"\nzone = \"z1\"\nclient = %q\nreadiness = %q\npeer = %q\ngrace = \"4s\"\n[log]\naddress = %q\nparts = 12\n[bounds]\nstop_timeout = \"400ms\"\n",
-		index, p.clientAddr, local.Addr(), local.Addr(), l.Addr().String())
+		index, p.clientAddr, local.Addr(), local.Addr(), l.Addr().String()) + settings
 	if err := os.WriteFile(p.settingsPath, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
@@ -259,11 +259,12 @@
 	unknown  map[string]bool // an attempt had neither an acceptance nor a refusal as response
 	refused  map[string]bool // by every attempt
 	crashing map[string]bool // its only task crashes each target that starts it
+	long     bool            // some jobs have long specifications
 }
 
 // runSeed runs the daemons, clients and faults of one seed and checks the outcomes. The configurations have the tenants of
-// c and its changes; if it is nil, they have none, and routes change.
-func runSeed(t *testing.T, seed uint64, c *tenantChanges) {
+// c and its changes; if it is nil, they have none, and routes change. The daemons have some settings in addition.
+func runSeed(t *testing.T, seed uint64, c *tenantChanges, settings string) {
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
 	fleet, err := local.NewFleet(ctx, soakPools, 4)
@@ -271,7 +272,7 @@
 		t.Fatal(err)
 	}
 	defer fleet.Close()
-	o := &outcomes{tenants: c, accepted: map[string]bool{}, unknown: map[string]bool{}, refused: map[string]bool{}, crashing: map[string]bool{}}
+	o := &outcomes{tenants: c, accepted: map[string]bool{}, unknown: map[string]bool{}, refused: map[string]bool{}, crashing: map[string]bool{}, long: settings == smallSpace}
 	if c == nil {
 		fleet.Configure(ctx, 1, jobHost, soakPools)
 	} else {
@@ -286,7 +287,7 @@
 	}
 	var daemons []*daemonProcess
 	for n := range count {
-		p := newDaemonProcess(t, n, fleet)
+		p := newDaemonProcess(t, n, fleet, settings)
 		p.start()
 		daemons = append(daemons, p)
 	}
@@ -384,6 +385,9 @@
 		if sizes.IntN(largeShare) == 0 {
 			body = local.TwoSteps(fmt.Sprint(100+sizes.IntN(400)), 300, largeTasks, 2)
 		}
+		if o.long && sizes.IntN(spaceShare) == 0 {
+			body = longJob(sizes)
+		}
 		if rng.IntN(crashingShare) == 0 {
 			body = local.TwoSteps("crashes", 300, 1, 1)
 			o.mu.Lock()
--- a/soak/tenants_test.go
+++ b/soak/tenants_test.go
@@ -39,7 +39,7 @@
 func TestTenants(t *testing.T) {
 	for i := range *seeds {
 		seed := *first + uint64(i)
-		t.Run(fmt.Sprint(seed), func(t *testing.T) { runSeed(t, seed, &tenantChanges{}) })
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { runSeed(t, seed, &tenantChanges{}, "") })
 	}
 }
 
