jobs: bound the requests for advice

Callers would see: a job of 90 bytes with 10,000 occurrences that are due, on a queue with advice, makes the owner open 10,000 connections to the advice service at once and run out of descriptors; the service rejects all but 32 calls, which are then repeated.

Cause: each step that could start sent a request of its own, without a bound on those in flight, and kept what it knew of up to 30 targets.

Change: a pool has at most 24 requests in flight and asks in the order in which jobs get resources; a response starts the next round of planning. It keeps advice for 4,000 steps, 64 of one job.

Evidence: TestAdviceRequestsAreBounded, 200 occurrences: 200 requests at the same time before, now 24, and all tasks start although each eighth request is lost. Not seen with whole processes.

--- a/internal/jobs/advice.go
+++ b/internal/jobs/advice.go
@@ -28,6 +28,13 @@
 	adviceTimeout = 2 * time.Second
 	// adviceMargin is the remaining validity that a ticket needs for the start command to arrive in time.
 	adviceMargin = 200 * time.Millisecond
+	// maxAdviceInFlight is the number of requests at the same time. The advice service handles the calls of one process one after
+	// the other, and rejects them while 32 wait.
+	maxAdviceInFlight = 24
+	// maxAdvice is the number of steps for which advice is kept, at some KB each: one for each active job.
+	maxAdvice = 4000
+	// maxJobAdvice is the number of steps of one job among them. A short job may have thousands of steps that can start.
+	maxJobAdvice = 64
 )
 
 func (a *stepAdvice) ticket(id work.TargetID) string {
@@ -46,8 +53,12 @@
 	key := stepKey{j.id, occurrence, step}
 	a := p.advice[key]
 	if a == nil {
+		if !p.mayAskForAdvice(now) || len(p.advice) >= maxAdvice || j.advised >= maxJobAdvice {
+			return nil
+		}
 		a = &stepAdvice{refused: map[work.TargetID]bool{}}
 		p.advice[key] = a
+		j.advised++
 	}
 	if a.pending && now.Sub(a.askedAt) < adviceTimeout {
 		return nil
@@ -55,10 +66,14 @@
 	if len(a.granted) > 0 && now.Add(adviceMargin).Before(a.validUntil) && !p.stale(a) {
 		return a
 	}
+	if !p.mayAskForAdvice(now) {
+		return nil
+	}
 	ask := cs.targetsToAskAbout(a)
 	if len(ask) == 0 {
 		return nil
 	}
+	p.adviceAsked = append(p.adviceAsked, now)
 	a.askedAt, a.pending = now, true
 	a.incarnations = map[work.TargetID]int64{}
 	for _, id := range ask {
@@ -68,6 +83,40 @@
 	return nil
 }
 
+// mayAskForAdvice reports whether a further request may be sent. The response to another one starts the next round of planning.
+func (p *Pool) mayAskForAdvice(now time.Time) bool {
+	for len(p.adviceAsked) > 0 && now.Sub(p.adviceAsked[0]) >= adviceTimeout {
+		p.adviceAsked = p.adviceAsked[1:] // lost
+	}
+	return len(p.adviceAsked) < maxAdviceInFlight
+}
+
+// deleteAdvice forgets the advice for a step.
+func (p *Pool) deleteAdvice(key stepKey) {
+	if p.advice[key] == nil {
+		return
+	}
+	delete(p.advice, key)
+	if j := p.jobs[key.job]; j != nil {
+		j.advised--
+	}
+}
+
+// dropAdvice forgets the advice for steps that don't need it: those of finished jobs, and those without waiting tasks where a job
+// or the pool has all the advice that it may.
+func (p *Pool) dropAdvice() {
+	for key := range p.advice {
+		j := p.jobs[key.job]
+		switch {
+		case j == nil, j.finished():
+		case (len(p.advice) >= maxAdvice || j.advised >= maxJobAdvice) && j.occurrences[key.occurrence].steps[key.step].waiting == 0:
+		default:
+			continue
+		}
+		p.deleteAdvice(key)
+	}
+}
+
 // targetsToAskAbout returns the targets with the most free CPU that have not been refused for the step.
 func (cs *candidateSet) targetsToAskAbout(a *stepAdvice) []work.TargetID {
 	index := make([]int, 0, len(cs.list))
@@ -96,12 +145,15 @@
 
 // HandleAdvice handles the response of the advice service; granted is nil if there was none.
 func (p *Pool) HandleAdvice(now time.Time, r AdviceRequest, granted map[work.TargetID]string, validity time.Duration) {
+	if len(p.adviceAsked) > 0 {
+		p.adviceAsked = p.adviceAsked[1:]
+	}
+	p.replan = true
 	a := p.advice[stepKey{r.Job, r.Occurrence, r.Step}]
 	if a == nil {
 		return
 	}
 	a.pending = false
-	p.replan = true
 	if granted == nil {
 		return
 	}
--- a/internal/jobs/job.go
+++ b/internal/jobs/job.go
@@ -39,6 +39,7 @@
 	overdrawn       bool          // restored without space
 	zone            ident.ZoneID  // preferred zone of its tasks
 	service         bool          // it has a service step
+	advised         int           // steps for which the pool keeps advice
 	class           rank.Class    // in the last round of planning in which it had a runnable task
 	longestChain    time.Duration // run time of the longest chain of dependent steps in one occurrence, by the client's estimates
 	cpuTime         time.Duration // CPU time of one occurrence, by the client's estimates
--- a/internal/jobs/run.go
+++ b/internal/jobs/run.go
@@ -307,7 +307,7 @@
 		t.health.StartRefused(now)
 		t.backOff(now, unhealthyBackoff)
 	case StartInvalidTicket:
-		delete(p.advice, stepKey{r.key.task.Job, r.key.task.Occurrence, r.key.task.Step})
+		p.deleteAdvice(stepKey{r.key.task.Job, r.key.task.Occurrence, r.key.task.Step})
 	case StartInvalid:
 		t.backOff(now, defaultBackoff)
 	default:
--- a/internal/jobs/steps_test.go
+++ b/internal/jobs/steps_test.go
@@ -106,6 +106,52 @@
 	}
 }
 
+// Guards against a request to the advice service, with a connection and a goroutine, for each of the thousands of steps that a short
+// job may have, and against steps that are never asked about.
+func TestAdviceRequestsAreBounded(t *testing.T) {
+	const occurrences = 200
+	h := newHarness(t, 3)
+	q := testQueue
+	q.Advice = &work.AdviceConfig{TicketValidity: 3 * time.Second}
+	h.pool.SetQueues([]work.Queue{q})
+	spec := work.Spec{Steps: []work.Step{{Count: 1, Need: work.Resources{CPU: 100}, Estimate: time.Second}}, Repeat: occurrences, FirstAt: h.now.Add(-time.Hour)}
+	h.pool.Restore(h.now, &Record{ID: "0000000000000001", Queue: q, Pool: "pool", Spec: spec, Accepted: h.now})
+	asked, started := 0, 0
+	for round := 0; started < occurrences && round < 10*occurrences; round++ {
+		h.now = h.now.Add(100 * time.Millisecond)
+		h.pool.Tick(h.now)
+		h.pool.Plan(h.now)
+		_, seq := h.pool.BeginWrite()
+		h.pool.MarkDurable(h.now, seq)
+		var asks []AdviceRequest
+		for _, cmd := range h.pool.TakeCommands() {
+			switch cmd := cmd.(type) {
+			case AdviceRequest:
+				asks = append(asks, cmd)
+			case StartCommand:
+				started++
+				h.pool.HandleStartResult(h.now, cmd.Target, cmd.Task, cmd.Attempt, StartOK)
+				h.endRun(cmd.Target, cmd.Task, cmd.Attempt, work.EndDone)
+			}
+		}
+		if got := len(asks); got > maxAdviceInFlight {
+			t.Fatalf("requests for advice at the same time: got %d, want at most %d", got, maxAdviceInFlight)
+		}
+		if got := len(h.pool.advice); got > maxJobAdvice {
+			t.Fatalf("steps of one job with advice: got %d, want at most %d", got, maxJobAdvice)
+		}
+		asked += len(asks)
+		for i, ask := range asks {
+			if i%8 != 7 { // the others are lost
+				h.pool.HandleAdvice(h.now, ask, map[work.TargetID]string{"t1": "ticket"}, q.Advice.TicketValidity)
+			}
+		}
+	}
+	if started < occurrences {
+		t.Errorf("started tasks: got %d, want %d; %d requests", started, occurrences, asked)
+	}
+}
+
 // Occurrences start when they are due, not before, and each runs all steps.
 func TestScheduledOccurrences(t *testing.T) {
 	h := newHarness(t, 1)
--- a/internal/jobs/tick.go
+++ b/internal/jobs/tick.go
@@ -24,11 +24,7 @@
 	for _, t := range p.sortedTargets() {
 		p.tickTarget(now, t)
 	}
-	for key := range p.advice {
-		if j := p.jobs[key.job]; j == nil || j.finished() {
-			delete(p.advice, key)
-		}
-	}
+	p.dropAdvice()
 	if len(p.caps.views) > 0 {
 		p.updateUsage(now)
 	}
