keys: responses that other members hand over keep the memory limit

Callers don't see it: an entry that takes over the idempotency keys of members that leave, one after the other, holds the responses of all of them, though each had kept its key_memory. A client that uses keys fills them.

Cause: the limit was checked when a key is claimed and when a response is finished, and not for records that other members send.

Change: storing a record drops the body of its response beyond the limit, as finishing one does. The keys are kept: a repeat must not run again.

Evidence: TestHandedOverResponsesKeepLimit (100 responses of 10 KB, limit 100 KB) held 1,064,590 bytes before, bound 152,400.

--- a/internal/keys/table.go
+++ b/internal/keys/table.go
@@ -201,6 +201,10 @@
 		return false
 	}
 	t.removeRecord(r.Key)
+	// Records of other members add up once these have left. The keys have to be kept, and a response can do without its body.
+	if r.Phase == done {
+		r.Response = t.limitBody(r.Response)
+	}
 	t.records[r.Key] = &r
 	t.bytes += r.size()
 	return true
