shard: plan less often while rounds take long

Callers would see: few accepted jobs keep the owner of their pool planning on a small VM, where other requests then take long.

Cause: rounds of planning start 10 ms after each other, however long they take. A round visits each step that waits: of two jobs of 90 bytes with 10,000 occurrences that are due and fit no target, 7.6 ms on a whole core, and of 4,000 jobs that fit none 2.4 ms; the smallest VM has 0.192 cores.

Change: if the shortest of the last three rounds took longer than 10 ms, the next one starts three times as long after its start, 0.3 s at most.

--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -140,8 +140,9 @@
 	capDigests           capDigests
 	lastCapsRecord       time.Time
 	lastPlan             time.Time // start of the last round of planning
-	planScheduled        bool      // an event is due after which planning is possible again
-	closing              bool      // the shard ends once its changes are written
+	rounds               roundTimes
+	planScheduled        bool // an event is due after which planning is possible again
+	closing              bool // the shard ends once its changes are written
 }
 
 // pool is the state machine of one pool, with its agents and the requests that wait for its writes.
@@ -397,22 +398,29 @@
 	}
 }
 
-// plan lets the pools plan, at most once per planPause: a busy pool gets many events between two rounds.
+// plan lets the pools plan, at most once per planPause, or less often if that takes long: a busy pool gets many events between two
+// rounds.
 func (s *Shard) plan(now time.Time) {
 	if s.closing {
 		return
 	}
-	if now.Sub(s.lastPlan) >= planPause {
+	pause := s.rounds.pause()
+	if now.Sub(s.lastPlan) >= pause {
 		s.lastPlan = now
+		begin, planned := s.Clock.Now(), false
 		for _, p := range s.pools {
+			planned = planned || p.NeedsPlanning()
 			p.Plan(now)
 		}
+		if planned {
+			s.rounds.note(s.Clock.Now().Sub(begin))
+		}
 		return
 	}
 	for _, p := range s.pools {
 		if p.NeedsPlanning() && !s.planScheduled {
 			s.planScheduled = true
-			s.Clock.AfterFunc(planPause, func() { s.post(func(time.Time) { s.planScheduled = false }) })
+			s.Clock.AfterFunc(pause, func() { s.post(func(time.Time) { s.planScheduled = false }) })
 		}
 	}
 }
