crowd: a process whose pools are all full

Cause: the other crowds fill one pool. A process may own the partitions of several, and take over others.

Change: TestJobdManyPools submits jobs with long strings to six pools of three daemons, ends two of them and bounds the memory of each.

--- a/integ/crowd/accepted_test.go
+++ b/integ/crowd/accepted_test.go
@@ -32,7 +32,7 @@
 )
 
 // post sends a request for a job and returns the status, 0 if there is no response.
-func post(client *http.Client, method, addr string, id int, body string) int {
+func post(client *http.Client, method, addr, pool string, id int, body string) int {
 	req, err := http.NewRequestWithContext(context.Background(), method, fmt.Sprintf("http://%s/%s/%016x", addr, pool, id), strings.NewReader(body))
 	if err != nil {
 		return 0
@@ -48,8 +48,8 @@
 	return resp.StatusCode
 }
 
-// submitAll submits n jobs, each once, to the daemons in turn, and cancels each afterwards if that is asked for.
-func submitAll(t *testing.T, daemons []*jobd, n int, body string, cancel bool) {
+// submitAll submits n jobs to a pool, each once, to the daemons in turn, and cancels each afterwards if that is asked for.
+func submitAll(t *testing.T, daemons []*jobd, pool string, from, n int, body string, cancel bool) {
 	t.Helper()
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: senders, Proxy: nil}, Timeout: 5 * time.Second}
 	defer client.CloseIdleConnections()
@@ -58,12 +58,12 @@
 	for range senders {
 		all.Go(func() {
 			for i := int(next.Add(1)) - 1; i < n; i = int(next.Add(1)) - 1 {
-				addr := daemons[i%len(daemons)].client
-				if post(client, http.MethodPost, addr, firstID+i, body) == http.StatusOK {
+				addr, id := daemons[i%len(daemons)].client, firstID+from+i
+				if post(client, http.MethodPost, addr, pool, id, body) == http.StatusOK {
 					accepted.Add(1)
 				}
 				if cancel {
-					post(client, http.MethodDelete, addr, firstID+i, "")
+					post(client, http.MethodDelete, addr, pool, id, "")
 				}
 			}
 		})
@@ -114,7 +114,7 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			d := startJobd(t)
-			submitAll(t, []*jobd{d}, test.count, test.body, test.cancel)
+			submitAll(t, []*jobd{d}, pool, 0, test.count, test.body, test.cancel)
 			d.settle()
 			d.check(jobdMemory)
 			d.awaitJob(2)
@@ -127,7 +127,31 @@
 func TestJobdTakeover(t *testing.T) {
 	fleet := newFleet(t)
 	daemons := []*jobd{startMember(t, fleet, "edge-1"), startMember(t, fleet, "edge-2"), startMember(t, fleet, "edge-3")}
-	submitAll(t, daemons, 400, manySteps, false)
+	submitAll(t, daemons, pool, 0, 400, manySteps, false)
+	last := len(daemons) - 1
+	for _, d := range daemons[:last] {
+		d.check(jobdMemory)
+		d.kill()
+	}
+	daemons[last].awaitJob(2)
+	daemons[last].settle()
+	daemons[last].check(jobdMemory)
+}
+
+// Guards against the loss of a process whose pools are all full, each within the bound of its partition, and which takes over those of
+// other processes.
+func TestJobdManyPools(t *testing.T) {
+	pools := []string{pool, "sew", "iron", "pack", "press", "fold"}
+	fleet, err := local.NewFleet(t.Context(), pools, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(fleet.Close)
+	fleet.Configure(context.Background(), 1, jobHost, pools)
+	daemons := []*jobd{startMember(t, fleet, "edge-1"), startMember(t, fleet, "edge-2"), startMember(t, fleet, "edge-3")}
+	for i, p := range pools {
+		submitAll(t, daemons, p, i*200, 200, longStrings, false)
+	}
 	last := len(daemons) - 1
 	for _, d := range daemons[:last] {
 		d.check(jobdMemory)
