jobs: a tenant leaves half of a pool's space and places to the others

Callers would see: where tenants share a pool, the accepted jobs of one keep the jobs of all others out, as one client's do without tenants.

Cause: the space and the places of a pool are taken by whoever comes first.

Change: the jobs of a tenant take at most half of the partition's space and 2,000 of the 4,000 places in a pool. Its first job has any legal size.

Evidence: TestTenantsLeaveSpace and TestResidentJobsLeavePlaces; without the rule the first tenant takes all.

--- a/internal/admit/admit.go
+++ b/internal/admit/admit.go
@@ -8,6 +8,7 @@
 	Capacity float64       // cores of the targets that accept new tasks
 	Jobs     int           // active jobs
 	Resident int           // those of them that are like [Demand.Resident]
+	OfTenant int           // those of them that are of the job's tenant; 0 if it has none
 	NoSpace  bool          // the memory for jobs of this kind is in use
 	Reserve  float64       // cores on their way to the pool, or that other pools could give it
 	// CapacityUnknown means that Capacity and Reserve may be far too low: this process has just taken over the pool, or no
@@ -66,6 +67,8 @@
 	maxJobs = 4000
 	// maxResident leaves a quarter of the jobs to those that run at once.
 	maxResident = maxJobs * 3 / 4
+	// maxTenantJobs leaves a half of the jobs to other tenants.
+	maxTenantJobs = maxJobs / 2
 	// minRetry and maxRetry bound the retry delay that clients are told.
 	minRetry = time.Second
 	maxRetry = 5 * time.Second
@@ -77,7 +80,7 @@
 // lets it complete in time on the tenant's share of the capacity. The shares of
 // tenants without work are divided among the others.
 func Decide(l Load, d Demand) Decision {
-	if l.Jobs >= maxJobs || d.Resident && l.Resident >= maxResident {
+	if l.Jobs >= maxJobs || l.OfTenant >= maxTenantJobs || d.Resident && l.Resident >= maxResident {
 		return Decision{Reason: "too many active jobs", RetryAfter: maxRetry, Limit: LimitJobs}
 	}
 	if l.NoSpace {
--- a/internal/admit/admit_test.go
+++ b/internal/admit/admit_test.go
@@ -33,8 +33,8 @@
 	}
 }
 
-// Guards against jobs that run at once and are refused since scheduled, service or large ones have taken all places, and
-// against a number of jobs without bound.
+// Guards against jobs that run at once and are refused since scheduled, service or large ones, or those of one tenant, have taken all
+// places, and against a number of jobs without bound.
 func TestResidentJobsLeavePlaces(t *testing.T) {
 	for name, test := range map[string]struct {
 		load   Load
@@ -45,6 +45,8 @@
 		"scheduled, only the reserve":     {Load{Jobs: maxResident, Resident: maxResident}, Demand{Scheduled: true, Resident: true}, LimitJobs},
 		"at once, only the reserve":       {Load{Jobs: maxResident, Resident: maxResident}, Demand{}, ""},
 		"at once, no place":               {Load{Jobs: maxJobs, Resident: maxResident}, Demand{}, LimitJobs},
+		"of a tenant with a half":         {Load{Jobs: maxTenantJobs, OfTenant: maxTenantJobs}, Demand{}, LimitJobs},
+		"of another tenant":               {Load{Jobs: maxTenantJobs}, Demand{}, ""},
 		"at once, places, but no memory":  {Load{NoSpace: true}, Demand{}, LimitSpace},
 		"scheduled, places, but no space": {Load{NoSpace: true}, Demand{Scheduled: true, Resident: true}, LimitSpace},
 	} {
--- a/internal/jobs/pool.go
+++ b/internal/jobs/pool.go
@@ -35,6 +35,7 @@
 	ended          []*job // finished jobs that this owner has not admitted, until their tasks are dropped
 	active         []*job // the unfinished jobs
 	resident       int    // the active jobs that are resident
+	tenantUses     map[work.TenantID]*tenantUse
 	suspects       []*suspect
 	trialTargets   []*target // the targets with a trial
 	targets        map[work.TargetID]*target
@@ -82,7 +83,7 @@
 func NewPool(id ident.PoolID) *Pool {
 	return &Pool{
 		ID: id, Space: &space.Account{}, nextWrite: 1,
-		queues: map[work.QueueID]work.Queue{}, tenants: map[work.TenantID]work.Tenant{}, jobs: map[work.JobID]*job{}, deferred: map[work.JobID]*deferredJob{}, targets: map[work.TargetID]*target{},
+		queues: map[work.QueueID]work.Queue{}, tenants: map[work.TenantID]work.Tenant{}, jobs: map[work.JobID]*job{}, deferred: map[work.JobID]*deferredJob{}, tenantUses: map[work.TenantID]*tenantUse{}, targets: map[work.TargetID]*target{},
 		dirty: map[work.JobID]*job{}, ratios: map[work.QueueID]*timeRatio{}, advice: map[stepKey]*stepAdvice{},
 	}
 }
@@ -141,7 +142,10 @@
 	use := useOf(spec, size)
 	demand.Resident = use == space.Resident
 	load := p.load(now, spec.Tenant, demand)
-	load.NoSpace = !p.Space.Admits(use, size)
+	load.NoSpace = !p.Space.Admits(use, size) || !p.tenantHasSpace(spec.Tenant, size)
+	if spec.Tenant != "" {
+		load.OfTenant = p.useBy(spec.Tenant).jobs
+	}
 	decision, capTimes := p.decideByCap(now, queue.ID, spec, demand, admit.Decide(load, demand))
 	if !decision.Admit {
 		p.emit(refusedEvent(id, queue.ID, spec.Tenant, load, decision))
@@ -311,6 +315,7 @@
 	p.occupy(j, useOf(j.spec, size), size)
 	if !j.finished() {
 		p.active = append(p.active, j)
+		p.useBy(j.tenant).jobs++
 		if j.use == space.Resident {
 			p.resident++
 		}
@@ -329,6 +334,7 @@
 	for i, x := range p.active {
 		if x == j {
 			p.active = append(p.active[:i], p.active[i+1:]...)
+			p.useBy(j.tenant).jobs--
 			if j.use == space.Resident {
 				p.resident--
 			}
--- a/internal/jobs/size.go
+++ b/internal/jobs/size.go
@@ -45,17 +45,48 @@
 	return space.Transient
 }
 
+// tenantParts is the part of a partition's space that the jobs of one tenant may take in a pool.
+const tenantParts = 2
+
+// tenantUse is what the jobs of a tenant take of a pool.
+type tenantUse struct {
+	space ident.Bytes
+	jobs  int // active ones
+}
+
+// useBy returns what the jobs of a tenant take, to be changed.
+func (p *Pool) useBy(id work.TenantID) *tenantUse {
+	u := p.tenantUses[id]
+	if u == nil {
+		u = &tenantUse{}
+		p.tenantUses[id] = u
+	}
+	return u
+}
+
+// tenantHasSpace reports whether a new job of n bytes leaves enough to the other tenants. The first job of a tenant has any legal
+// size.
+func (p *Pool) tenantHasSpace(id work.TenantID, n ident.Bytes) bool {
+	if id == "" || p.Space.Limit <= 0 {
+		return true
+	}
+	used := p.useBy(id).space
+	return used == 0 || used+n <= p.Space.Limit/tenantParts
+}
+
 // occupy counts the space of a job as that of a use, and no longer as what it was counted before.
 func (p *Pool) occupy(j *job, u space.Use, size ident.Bytes) {
 	p.vacate(j)
 	j.use, j.size = u, size
 	p.Space.Add(u, size)
+	p.useBy(j.tenant).space += size
 }
 
 // vacate counts a job as removed.
 func (p *Pool) vacate(j *job) {
 	if j.size > 0 {
 		p.Space.Add(j.use, -j.size)
+		p.useBy(j.tenant).space -= j.size
 	}
 	if j.admitted {
 		p.Space.AddAdmitted(-j.size)
--- a/internal/jobs/size_test.go
+++ b/internal/jobs/size_test.go
@@ -63,6 +63,38 @@
 	}
 }
 
+// Guards against a tenant whose jobs take all the space of a pool, and against a single large job of a tenant that is refused.
+func TestTenantsLeaveSpace(t *testing.T) {
+	p, now := NewPool("pool"), time.Unix(1000, 0)
+	p.Space.Limit = 1 << 20
+	submit := func(tenant work.TenantID, i, tasks int) bool {
+		spec := &work.Spec{Tenant: tenant, Steps: []work.Step{{Count: tasks}}}
+		return !p.Submit(now, work.JobID(fmt.Sprintf("%s%015x", tenant, i)), testQueue, spec).Refused
+	}
+	n := 0
+	for n < 4000 && submit("a", n, 10) {
+		n++
+	}
+	if got, want := p.useBy("a").space, p.Space.Limit/tenantParts; got > want || n == 4000 {
+		t.Errorf("space of a tenant: got %d bytes of %d jobs, want at most %d", got, n, want)
+	}
+	if !submit("b", 0, 10) {
+		t.Error("a job of another tenant: got a refusal, want it admitted")
+	}
+	if !submit("c", 0, 10_000) {
+		t.Error("the only large job: got a refusal, want it admitted")
+	}
+	for id := range p.jobs {
+		p.Cancel(now, id)
+	}
+	_, seq := p.BeginWrite()
+	p.MarkDurable(now, seq)
+	p.Expire(now.Add(time.Hour))
+	if got := *p.useBy("a"); got != (tenantUse{}) {
+		t.Errorf("use by a tenant whose jobs are gone: got %+v, want none", got)
+	}
+}
+
 // Guards against jobs that take more memory than is counted, in each of their states, and against space that stays counted
 // once they are gone.
 func TestSizes(t *testing.T) {
