--- a/integ/crowd/accepted_test.go
+++ b/integ/crowd/accepted_test.go
@@ -123,13 +123,17 @@
 	}
 }
 
-// Guards against the loss of one process after the other to the same accepted jobs, which each takes over from the one before.
-func TestJobdTakeover(t *testing.T) {
-	fleet := newFleet(t)
-	daemons := []*jobd{startMember(t, fleet, "edge-1"), startMember(t, fleet, "edge-2"), startMember(t, fleet, "edge-3")}
-	submitAll(t, daemons, pool, 0, 400, manySteps, false)
+// startMembers starts three daemons.
+func startMembers(t *testing.T, fleet *local.Fleet) []*jobd {
+	t.Helper()
+	return []*jobd{startMember(t, fleet, "edge-1"), startMember(t, fleet, "edge-2"), startMember(t, fleet, "edge-3")}
+}
+
+// checkLast checks and ends all daemons but the last one, which takes over their partitions, and checks that one.
+func checkLast(daemons []*jobd) {
 	last := len(daemons) - 1
 	for _, d := range daemons[:last] {
+		d.t.Helper()
 		d.check(jobdMemory)
 		d.kill()
 	}
@@ -138,6 +142,14 @@
 	daemons[last].check(jobdMemory)
 }
 
+// Guards against the loss of one process after the other to the same accepted jobs, which each takes over from the one before.
+func TestJobdTakeover(t *testing.T) {
+	fleet := newFleet(t)
+	daemons := startMembers(t, fleet)
+	submitAll(t, daemons, pool, 0, 400, manySteps, false)
+	checkLast(daemons)
+}
+
 // Guards against the loss of a process whose pools are all full, each within the bound of its partition, and which takes over those of
 // other processes.
 func TestJobdManyPools(t *testing.T) {
@@ -148,18 +160,11 @@
 	}
 	t.Cleanup(fleet.Close)
 	fleet.Configure(context.Background(), 1, jobHost, pools)
-	daemons := []*jobd{startMember(t, fleet, "edge-1"), startMember(t, fleet, "edge-2"), startMember(t, fleet, "edge-3")}
+	daemons := startMembers(t, fleet)
 	for i, p := range pools {
 		submitAll(t, daemons, p, i*200, 200, longStrings, false)
 	}
-	last := len(daemons) - 1
-	for _, d := range daemons[:last] {
-		d.check(jobdMemory)
-		d.kill()
-	}
-	daemons[last].awaitJob(2)
-	daemons[last].settle()
-	daemons[last].check(jobdMemory)
+	checkLast(daemons)
 }
 
 // Guards against an owner that can't come up because the records of its partition, of a version without bounds, take more
