shard: a cancellation that waits for a deferred job answers by what is found

Callers would see: 410 for a stored job whose record can't be decoded when it is read after the takeover, as if it didn't exist. Also, a cancellation that its caller no longer waits for wrote to the caller's result.

Cause: the cancellation was carried out without looking again at which jobs are undecoded; and its result was that of the function.

Change: both are asked when the cancellation is carried out; the result is read only once the shard has replied.

Evidence: TestUndecodedDeferredJobIsNotDenied.

--- a/internal/shard/deferred_test.go
+++ b/internal/shard/deferred_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"strings"
 	"testing"
@@ -97,3 +98,30 @@
 		t.Errorf("pending: got %d, want 1, the small job", got)
 	}
 }
+
+// Guards against a stored job that is denied because its record can't be decoded once there is space for it.
+func TestUndecodedDeferredJobIsNotDenied(t *testing.T) {
+	const id = "0000000000000002"
+	log := &fakes.Log{}
+	ctx := t.Context()
+	large := &work.Spec{Steps: []work.Step{{Count: 100, Need: work.Resources{CPU: 100}}}}
+	first := startShardWithin(t, log, 1, 0, nil)
+	for _, job := range []work.JobID{"0000000000000001", id} {
+		if err := first.Submit(ctx, testQueue, job, large); err != nil {
+			t.Fatalf("submit: %v", err)
+		}
+	}
+	first.Stop()
+	next := startShardWithin(t, log, 2, 20_000, nil) // enough for the first one
+	if err := log.Append(ctx, next.topicPartition(), plog.Writer{}, []plog.Record{{Key: id, Value: []byte("of a later version")}}); err != nil {
+		t.Fatal(err)
+	}
+	for range 2 {
+		if known, err := next.Cancel(ctx, anyone, "p", id); !errors.Is(err, ErrUndecoded) {
+			t.Errorf("cancellation: got %v, %v, want %v", known, err, ErrUndecoded)
+		}
+	}
+	if _, _, err := next.State(ctx, anyone, "p", id); !errors.Is(err, ErrUndecoded) {
+		t.Errorf("state: got error %v, want %v", err, ErrUndecoded)
+	}
+}
--- a/internal/shard/requests.go
+++ b/internal/shard/requests.go
@@ -69,30 +69,33 @@
 // Cancel cancels a job and returns once that is durable. known is false if there is no such job for the caller.
 func (s *Shard) Cancel(ctx context.Context, caller work.Caller, pool ident.PoolID, id work.JobID) (known bool, err error) {
 	reply := make(chan error, 1)
-	cancel := func(now time.Time) {
+	found := false
+	var cancel func(now time.Time)
+	cancel = func(now time.Time) { //nolint:contextcheck // a read of deferred jobs outlives the request
+		if s.undecoded[id] {
+			reply <- ErrUndecoded
+			return
+		}
 		p := s.pool(pool)
 		var writeSeq jobs.WriteSeq
 		if p.sees(caller, id) {
-			writeSeq, known = p.Cancel(now, id)
+			if p.Want(id) {
+				s.awaitingRestore[id] = append(s.awaitingRestore[id], cancel)
+				s.restoreDeferred()
+				return
+			}
+			writeSeq, found = p.Cancel(now, id)
 		}
-		if !known {
+		if !found {
 			s.proveOwnership(reply)
 			return
 		}
 		s.replyWhenDurable(p, waiter{writeSeq: writeSeq, job: id, reply: reply})
 	}
-	err = s.call(ctx, reply, func(now time.Time) { //nolint:contextcheck // a read of deferred jobs outlives the request
-		switch p := s.pool(pool); {
-		case s.undecoded[id]:
-			reply <- ErrUndecoded
-		case p.sees(caller, id) && p.Want(id):
-			s.awaitingRestore[id] = append(s.awaitingRestore[id], cancel)
-			s.restoreDeferred()
-		default:
-			cancel(now)
-		}
-	})
-	return known, err
+	if err := s.call(ctx, reply, cancel); err != nil {
+		return false, err // the job may be canceled later, once it is in memory
+	}
+	return found, nil
 }
 
 // State returns the state of a job. known is false if there is no such job for the caller.
