Read-through: the users' field names stay in platform/, shares of space have names, one set-up for shards in tests

Change: the bodies are made in platform/local, the rest as named above. No behavior, crowd, bound or assertion changes. The bodies are the same bytes, but for "cpu":0, which the job of tasks that need nothing left out before.

--- a/integ/crowd/accepted_test.go
+++ b/integ/crowd/accepted_test.go
@@ -27,8 +27,6 @@
 	senders = 16
 	// firstID is the lowest id of the jobs of a crowd. Ordinary jobs have lower ones.
 	firstID = 0x100000
-	// unplaceable is an amount of CPU, in thousandths of a core, that no target has: the job waits.
-	unplaceable = 1 << 30
 )
 
 // post sends a request for a job and returns the status, 0 if there is no response.
@@ -72,32 +70,14 @@
 	t.Logf("%d of %d jobs accepted", accepted.Load(), n)
 }
 
-// manySteps is a job with as many steps, and as many dependencies between them, as are legal.
-var manySteps = func() string {
-	const steps = 256
-	var out, earlier strings.Builder
-	for i := range steps {
-		fmt.Fprintf(&out, `,{"count":1,"cpu":%d,"depends-on":[%s]}`, unplaceable, strings.TrimPrefix(earlier.String(), ","))
-		fmt.Fprintf(&earlier, ",%d", i)
-	}
-	return `{"phases":[` + out.String()[1:] + `]}`
-}()
-
-// longStrings is a job that fills a body of legal size with a string.
-var longStrings = fmt.Sprintf(`{"phases":[{"count":1,"cpu":%d,"affinity":"%s"}]}`, unplaceable, strings.Repeat("x", 240_000))
-
-// manyTasks is a short job with as many tasks as are legal, of which some fit on the target.
-const manyTasks = `{"spec":"60000","phases":[{"count":10000,"cpu":100}]}`
-
-// smallTasks is a short job with as many tasks as are legal, all of which fit on one target.
-const smallTasks = `{"spec":"60000","phases":[{"count":10000}]}`
-
-// manyOccurrences is a short job with as many occurrences as are legal, all of which are due.
-var manyOccurrences = fmt.Sprintf(`{"phases":[{"count":1,"cpu":%d}],"repeat-count":10000,"start-at-ms":1}`, unplaceable)
+var (
+	manySteps   = local.ManySteps()
+	longStrings = local.LongString(240_000)
+)
 
 // Guards against the loss of a process to jobs that it accepts: their number was bounded, and not what they take in memory.
 func TestJobdAcceptedJobs(t *testing.T) {
-	inAnHour := fmt.Sprintf(`{"phases":[{"count":1,"cpu":100}],"repeat-count":1,"start-at-ms":%d}`, time.Now().Add(time.Hour).UnixMilli())
+	inAnHour := local.Scheduled(100, 1, time.Now().Add(time.Hour))
 	for _, test := range []struct {
 		name   string
 		count  int
@@ -106,9 +86,9 @@
 	}{
 		{"steps and dependencies", 400, manySteps, false},
 		{"long strings", 500, longStrings, false},
-		{"tasks", 400, manyTasks, false},
-		{"tasks that all run", 40, smallTasks, false},
-		{"occurrences", 200, manyOccurrences, false},
+		{"tasks", 400, local.ManyTasks(100), false},
+		{"tasks that all run", 40, local.ManyTasks(0), false},
+		{"occurrences", 200, local.ManyOccurrences(), false},
 		{"steps and dependencies, canceled", 400, manySteps, true},
 		{"due in an hour", 4500, inAnHour, false}, // all other jobs were refused for that hour, by the number of active jobs
 	} {
@@ -173,8 +153,7 @@
 	const count = 300
 	fleet := newFleet(t)
 	partition := plog.TopicPartition{Topic: shard.JobsTopic, Partition: shard.PartitionOf(ident.PoolID(pool), partitions)}
-	body := fmt.Sprintf(`{"spec":"5","phases":[{"count":1,"cpu":2000,"mem-mb":64,"est-runtime-ms":5,"affinity":"%s"}]}`, strings.Repeat("x", 240_000))
-	spec, err := platform.DecodeSpec([]byte(body))
+	spec, err := platform.DecodeSpec([]byte(local.LongTask(240_000)))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/jobs/deferred.go
+++ b/internal/jobs/deferred.go
@@ -232,7 +232,7 @@
 		return
 	}
 	fits := p.Space.Fits(d.use, d.size)
-	p.dropDeferred(j.Record.ID)
+	p.DropDeferred(j.Record.ID)
 	p.Restore(now, j.Record, j.Segments...)
 	if restored := p.jobs[j.Record.ID]; !fits {
 		restored.overdrawn = true
@@ -241,14 +241,10 @@
 	p.emit(Event{Kind: EventRestored, Job: j.Record.ID, Queue: j.Record.Queue.ID})
 }
 
-// DropDeferred forgets a deferred job whose record is not in the store.
+// DropDeferred forgets a deferred job, which has been restored or is not in the store.
 func (p *Pool) DropDeferred(id work.JobID) {
 	if p.deferred[id] != nil {
-		p.dropDeferred(id)
+		delete(p.deferred, id)
+		p.Space.AddDeferred(-1)
 	}
 }
-
-func (p *Pool) dropDeferred(id work.JobID) {
-	delete(p.deferred, id)
-	p.Space.AddDeferred(-1)
-}
--- a/internal/shard/deferred_test.go
+++ b/internal/shard/deferred_test.go
@@ -1,16 +1,12 @@
 package shard
 
 import (
-	"context"
 	"errors"
 	"fmt"
 	"strings"
 	"testing"
 	"time"
 
-	"github.com/hashicorp/go-hclog"
-
-	"github.com/toucanhatch/toucanhatch/internal/clock"
 	"github.com/toucanhatch/toucanhatch/internal/fakes"
 	"github.com/toucanhatch/toucanhatch/internal/jobs"
 	"github.com/toucanhatch/toucanhatch/internal/plog"
@@ -22,16 +18,10 @@
 // startShardWithin starts a shard whose jobs may take some memory.
 func startShardWithin(t *testing.T, log plog.Log, epoch plog.Epoch, limit ident.Bytes, total *space.Total) *Shard {
 	t.Helper()
-	s := &Shard{
-		Partitions: 1, Epoch: epoch, Log: log, Targets: noTargets{}, Clock: clock.System(), Logger: hclog.NewNullLogger(),
-		Space: space.Account{Limit: limit, Total: total}, Bounds: jobs.Bounds{Retention: time.Minute, MaxRecord: 256 << 10},
-		Queues: func() []work.Queue { return nil }, WallOffset: func() time.Duration { return 0 }, LastConfirmed: time.Now,
-	}
-	s.Init(context.Background())
-	go s.Run()
-	t.Cleanup(s.Stop)
-	<-s.Ready()
-	return s
+	s := newShard(log, epoch, time.Now)
+	s.Space = space.Account{Limit: limit, Total: total}
+	s.Bounds = jobs.Bounds{Retention: time.Minute, MaxRecord: 256 << 10}
+	return runShard(t, s)
 }
 
 // Guards against an owner that takes in more stored jobs than it has memory for, or loses those for which it has none: they
@@ -73,7 +63,6 @@
 			t.Errorf("state of %s: got %s, %v, %v, want %s", id(i), got, known, err, work.Queued)
 		}
 	}
-	// Canceled jobs keep their space for a while, so that the last ones are restored although there is none.
 	for i := count - 1; i >= 0; i-- {
 		if known, err := next.Cancel(ctx, anyone, "p", id(i)); !known || err != nil {
 			t.Fatalf("cancellation of %s: got %v, %v, want success", id(i), known, err)
--- a/internal/shard/shard_test.go
+++ b/internal/shard/shard_test.go
@@ -38,10 +38,20 @@
 // startConfirmedShard starts a shard whose ownership was confirmed at the time that lastConfirmed returns.
 func startConfirmedShard(t *testing.T, log plog.Log, epoch plog.Epoch, lastConfirmed func() time.Time) *Shard {
 	t.Helper()
-	s := &Shard{
+	return runShard(t, newShard(log, epoch, lastConfirmed))
+}
+
+// newShard returns a shard that may be changed before [runShard].
+func newShard(log plog.Log, epoch plog.Epoch, lastConfirmed func() time.Time) *Shard {
+	return &Shard{
 		Partitions: 1, Epoch: epoch, Log: log, Targets: noTargets{}, Clock: clock.System(), Logger: hclog.NewNullLogger(),
 		Queues: func() []work.Queue { return nil }, WallOffset: func() time.Duration { return 0 }, LastConfirmed: lastConfirmed,
 	}
+}
+
+// runShard runs a shard until the end of the test, and returns it once it is ready.
+func runShard(t *testing.T, s *Shard) *Shard {
+	t.Helper()
 	s.Init(context.Background())
 	go s.Run()
 	t.Cleanup(s.Stop)
--- a/internal/space/space.go
+++ b/internal/space/space.go
@@ -49,6 +49,14 @@
 // TotalLimit returns the limit of a process with some memory, for all its partitions.
 func TotalLimit(memory ident.Bytes) ident.Bytes { return memory / totalParts }
 
+// residentShare returns what resident jobs may take of a limit; the rest is kept for transient ones.
+func residentShare(limit ident.Bytes) ident.Bytes { return limit / residentParts * residentPart }
+
+// transientShare returns what is kept for transient jobs.
+func transientShare(limit ident.Bytes) ident.Bytes {
+	return limit / residentParts * (residentParts - residentPart)
+}
+
 // Total is the space of a process. It is safe for concurrent use once its exported fields are set.
 type Total struct {
 	Limit   ident.Bytes                // 0 sets no limit
@@ -106,13 +114,13 @@
 
 // MayOverdraw reports whether a stored job of n bytes may be restored although there is no space.
 func (a *Account) MayOverdraw(n ident.Bytes) bool {
-	return a.overdrawn == 0 || a.overdrawn+n <= a.Limit/residentParts*(residentParts-residentPart)
+	return a.overdrawn == 0 || a.overdrawn+n <= transientShare(a.Limit)
 }
 
 // Admits reports whether a new job of n bytes may be admitted. While stored jobs are deferred, they have all but the part that
 // is kept for transient jobs.
 func (a *Account) Admits(u Use, n ident.Bytes) bool {
-	if a.deferred > 0 && a.Limit > 0 && (u != Transient || a.admitted+n > a.Limit/residentParts*(residentParts-residentPart)) {
+	if a.deferred > 0 && a.Limit > 0 && (u != Transient || a.admitted+n > transientShare(a.Limit)) {
 		return false
 	}
 	return a.Fits(u, n)
@@ -131,12 +139,12 @@
 	switch {
 	case a.Limit > 0 && jobs+n > a.Limit:
 		return false
-	case u == Resident && a.Limit > 0 && a.used[Resident]+n > a.Limit/residentParts*residentPart:
+	case u == Resident && a.Limit > 0 && a.used[Resident]+n > residentShare(a.Limit):
 		return false
 	case a.Total == nil || a.Total.Limit <= 0:
 		return true
 	case u == Resident:
-		return a.Total.Used()+n <= a.Total.Limit/residentParts*residentPart
+		return a.Total.Used()+n <= residentShare(a.Total.Limit)
 	default:
 		return a.Total.Used()+n <= a.Total.Limit
 	}
--- a/soak/space_test.go
+++ b/soak/space_test.go
@@ -3,13 +3,12 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"strings"
 	"testing"
 
 	"github.com/toucanhatch/toucanhatch/platform/local"
 )
 
-// smallSpace leaves a partition space for some tens of ordinary jobs, so that the successor of its owner defers most of them.
+// smallSpace leaves a partition space for a few ordinary jobs, so that some are refused and, at takeovers, some are deferred.
 const smallSpace = `[limits]
 partition = 20_000
 `
@@ -27,6 +26,5 @@
 
 // longJob returns the body of a job with a specification of 10 to 60 KB.
 func longJob(rng *rand.Rand) string {
-	body := local.TwoSteps(fmt.Sprint(100+rng.IntN(400)), 300, 10, 2)
-	return strings.Replace(body, `"count"`, fmt.Sprintf(`"affinity":"%s","count"`, strings.Repeat("x", 10_000+rng.IntN(50_000))), 1)
+	return local.LongTwoSteps(fmt.Sprint(100+rng.IntN(400)), 300, 10, 2, 10_000+rng.IntN(50_000))
 }
