Review: drop a case that review/4 shows, and number the rest anew

The case of jobs that are failed by crashes of their workers is review/4's fault. The others move up: 12 UNASKED, 13 TWICE, 14 LOST (a gang; an entry of KNOWN-RED.txt), and as case 15 ORDER: timed jobs that are handed in at a daemon which doesn't own their pool start up to 0.86 s early.

--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Plays the case "crashes"; TROUBLE=0 leaves out the disruption.
+# Plays the case "frozen"; TROUBLE=0 leaves out the disruption.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/toucanjobd ] && [ -x target/standin3 ] || { echo "run review/build-3.sh first"; exit 2; }
-exec target/standin3 crashes review/12
+exec target/standin3 frozen review/12
