advise: calls for advice wait for their turn, and are not given up before it

Cause: two loops, each of which keeps the queue still by itself. - The service handles the calls of a process one after the other, also those whose caller has left. A pool sent 24 at once and gave each up after 2 s. With 220 ms a call, those behind the ninth were given up and made anew, so that the service handled only calls that nobody waited for. - Tickets counted from when they were asked for. Behind 13 other calls their validity of 3 s had passed when the answer came, and the step asked anew.

Change: internal/advise has one queue for the calls of all pools of a process, of which two are at the service. The pool chooses steps when a call can be made, by turns the first in the order of planning and the one that has not asked for longest, counts validity from when the call is sent, and names no more targets than take a quarter of it. Requests are counted by their responses: the oldest entry of adviceAsked was removed whichever call ended. This works because the service is kept busy by two calls, which no longer wait behind others.

TestAdviceRequestsTakeTurns fails without the turns (no call for the last step). TestAdviceRequestsAreBounded left an eighth of the requests without a response; the queue answers each, so they are answered as failed; its bounds are the same.

--- a/internal/agent/client.go
+++ b/internal/agent/client.go
@@ -23,6 +23,8 @@
 	ErrOtherTarget = errors.New("another target answers at this address")
 	// ErrFenced means that the target has seen a later owner of its pool.
 	ErrFenced = errors.New("the target has seen a later owner")
+	// ErrAdviceRejected means that the advice service has rejected a call because too many of this process wait.
+	ErrAdviceRejected = errors.New("the advice service rejects the call: too many are waiting")
 )
 
 // HoldRequest requests a target's run report and extends its lease.
@@ -63,6 +65,7 @@
 
 // Adviser asks the advice service which targets may run a step.
 type Adviser interface {
-	// Advise returns a ticket for each target that may run the step, and how long the tickets are valid.
-	Advise(ctx context.Context, req jobs.AdviceRequest) (map[work.TargetID]string, time.Duration, error)
+	// Advise returns a ticket for each target that may run the step. The error is [ErrAdviceRejected] if too many calls of this
+	// process wait at the service.
+	Advise(ctx context.Context, req jobs.AdviceRequest) (jobs.Advice, error)
 }
--- a/internal/jobd/daemon.go
+++ b/internal/jobd/daemon.go
@@ -14,6 +14,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"github.com/toucanhatch/toucanhatch/internal/advise"
 	"github.com/toucanhatch/toucanhatch/internal/agent"
 	"github.com/toucanhatch/toucanhatch/internal/clock"
 	"github.com/toucanhatch/toucanhatch/internal/group"
@@ -80,7 +81,8 @@
 	DialPeer func(ctx context.Context, network, addr string) (net.Conn, error)
 
 	service   *Service
-	space     *space.Total // that the jobs of all owned partitions take
+	space     *space.Total  // that the jobs of all owned partitions take
+	adviser   agent.Adviser // shared by all owned partitions; nil if there is no advice service
 	owners    *ownerTable
 	standby   *standby
 	member    *group.Member
@@ -190,6 +192,11 @@
 func (d *Daemon) build() {
 	s, p := d.Settings, d.Platform
 	d.space = &space.Total{Limit: space.TotalLimit(s.Memory), Changed: countSpace}
+	if p.Adviser != nil {
+		q := &advise.Queue{Service: p.Adviser, Clock: d.Clock, Logger: d.Logger, Observe: countAdvice}
+		q.Init()
+		d.adviser = q
+	}
 	peerClient := &link.Client{Dial: d.DialPeer}
 	d.owners = &ownerTable{Log: p.Log, Group: groupName, PeerAddress: s.PeerAddress, PeerClient: peerClient, Clock: d.Clock, Logger: d.Logger, refresh: make(chan struct{}, 1)}
 	d.member = &group.Member{
--- a/internal/jobd/metrics.go
+++ b/internal/jobd/metrics.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"github.com/toucanhatch/toucanhatch/internal/advise"
 	"github.com/toucanhatch/toucanhatch/internal/hist"
 	"github.com/toucanhatch/toucanhatch/internal/jobs"
 	"github.com/toucanhatch/toucanhatch/internal/link"
@@ -27,10 +28,12 @@
 	configAge         = expvar.NewInt("config_unconfirmed_ms") // since the configuration was known to be the newest
 	configTransfers   = expvar.NewMap("config_transfers")      // by source and outcome
 	configBytes       = expvar.NewMap("config_transfer_bytes") // of whole versions, by source and outcome
+	adviceCalls       = expvar.NewMap("advice_calls")          // by outcome
 	spaceInUse        = expvar.NewMap("space_bytes")           // by use
 	requestLatencies  hist.Set[link.Method]
 	logLatencies      hist.Set[string]
 	writeLatencies    hist.Set[string]
+	adviceLatencies   hist.Set[advise.Outcome]
 	takeoverLatencies hist.Set[string]
 )
 
@@ -41,6 +44,7 @@
 	expvar.Publish("request_latency", requestLatencies.Var())
 	expvar.Publish("log_latency", logLatencies.Var())
 	expvar.Publish("write_latency", writeLatencies.Var())
+	expvar.Publish("advice_latency", adviceLatencies.Var())
 	expvar.Publish("takeover_latency", takeoverLatencies.Var())
 }
 
@@ -55,6 +59,12 @@
 	requestLatencies.Record(m, took)
 }
 
+// countAdvice counts one call to the advice service and records its duration.
+func countAdvice(o advise.Outcome, took time.Duration) {
+	adviceCalls.Add(string(o), 1)
+	adviceLatencies.Record(o, took)
+}
+
 func countSpace(u space.Use, n ident.Bytes) { spaceInUse.Add(string(u), int64(n)) }
 
 // transferOutcome is what became of a transfer of the configuration.
--- a/internal/jobs/advice.go
+++ b/internal/jobs/advice.go
@@ -1,6 +1,7 @@
 package jobs
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -24,19 +25,39 @@
 const (
 	// maxAdviceTargets is the largest number of targets in one request; the advice service takes some time for each.
 	maxAdviceTargets = 30
-	// adviceTimeout is the time after which a request is considered lost.
-	adviceTimeout = 2 * time.Second
+	// adviceValidityParts is the part of a ticket's validity that a call may take. Validity counts from when the call is sent, and
+	// the service may be handling another one then.
+	adviceValidityParts = 4
 	// adviceMargin is the remaining validity that a ticket needs for the start command to arrive in time.
 	adviceMargin = 200 * time.Millisecond
-	// maxAdviceInFlight is the number of requests at the same time. The advice service handles the calls of one process one after
-	// the other, and rejects them while 32 wait.
+	// adviceInFlight is the number of requests at the same time that is always allowed: one that the service handles and one that
+	// it handles next. A request that is sent later names the steps and targets that matter then.
+	adviceInFlight = 2
+	// maxAdviceInFlight and adviceAhead bound further requests, for a service that handles each in less time than a round of
+	// planning takes.
 	maxAdviceInFlight = 24
+	adviceAhead       = 100 * time.Millisecond
 	// maxAdvice is the number of steps for which advice is kept, at some KB each: one for each active job.
 	maxAdvice = 4000
 	// maxJobAdvice is the number of steps of one job among them. A short job may have thousands of steps that can start.
 	maxJobAdvice = 64
 )
 
+// Advice is the response of the advice service to a request.
+type Advice struct {
+	Granted     map[work.TargetID]string // ticket for each target that may run the step; nil if there was no response
+	Validity    time.Duration            // of the tickets
+	IssuedAfter time.Time                // when the call was sent that has this response
+}
+
+// adviceWant is a step that needs advice in a round of planning.
+type adviceWant struct {
+	key     stepKey
+	job     *job
+	askedAt time.Time // zero if the service has not been asked yet
+	taken   bool
+}
+
 func (a *stepAdvice) ticket(id work.TargetID) string {
 	if a.unrestricted {
 		return ""
@@ -44,51 +65,107 @@
 	return a.granted[id]
 }
 
-// adviceFor returns the advice for a step if it holds valid tickets; otherwise it requests some and returns nil.
-func (p *Pool) adviceFor(now time.Time, j *job, occurrence, step int, cs *candidateSet) *stepAdvice {
-	q := p.queues[j.queue]
-	if q.Advice == nil {
+// usableAdvice reports whether the advice holds valid tickets.
+func (p *Pool) usableAdvice(now time.Time, a *stepAdvice) bool {
+	return !a.pending && len(a.granted) > 0 && now.Add(adviceMargin).Before(a.validUntil) && !p.stale(a)
+}
+
+// adviceFor returns the advice for a step if it holds valid tickets. Otherwise it returns nil, and the step is one of those for
+// which [Pool.requestAdvice] may request some.
+func (p *Pool) adviceFor(now time.Time, j *job, occurrence, step int) *stepAdvice {
+	if p.queues[j.queue].Advice == nil {
 		return unrestrictedAdvice
 	}
-	key := stepKey{j.id, occurrence, step}
-	a := p.advice[key]
-	if a == nil {
-		if !p.mayAskForAdvice(now) || len(p.advice) >= maxAdvice || j.advised >= maxJobAdvice {
+	want := adviceWant{key: stepKey{j.id, occurrence, step}, job: j}
+	if a := p.advice[want.key]; a != nil {
+		if p.usableAdvice(now, a) {
+			return a
+		}
+		if a.pending {
 			return nil
 		}
-		a = &stepAdvice{refused: map[work.TargetID]bool{}}
-		p.advice[key] = a
-		j.advised++
+		want.askedAt = a.askedAt
 	}
-	if a.pending && now.Sub(a.askedAt) < adviceTimeout {
-		return nil
+	if p.mayAskForAdvice() {
+		p.adviceWanted = append(p.adviceWanted, want)
 	}
-	if len(a.granted) > 0 && now.Add(adviceMargin).Before(a.validUntil) && !p.stale(a) {
-		return a
+	return nil
+}
+
+// requestAdvice requests advice for steps that [Pool.adviceFor] has noted in this round of planning, as far as further requests are
+// allowed. By turns it chooses the step that is first in the order of planning, and the one whose last request is the longest
+// ago. Steps whose tickets expire again and again, because no target has room, would otherwise keep out those behind them.
+func (p *Pool) requestAdvice(now time.Time, cs *candidateSet) {
+	ranked := p.adviceWanted
+	p.adviceWanted = p.adviceWanted[:0]
+	if len(ranked) == 0 {
+		return
 	}
-	if !p.mayAskForAdvice(now) {
-		return nil
+	oldest := make([]*adviceWant, len(ranked))
+	for i := range ranked {
+		oldest[i] = &ranked[i]
+	}
+	slices.SortStableFunc(oldest, func(a, b *adviceWant) int { return a.askedAt.Compare(b.askedAt) })
+	for first, next := 0, 0; first < len(ranked) && next < len(oldest) && p.mayAskForAdvice(); {
+		var want *adviceWant
+		if p.adviceByAge {
+			want = oldest[next]
+			next++
+		} else {
+			want = &ranked[first]
+			first++
+		}
+		if !want.taken {
+			want.taken = true
+			if p.request(now, want, cs) {
+				p.adviceByAge = !p.adviceByAge
+			}
+		}
 	}
-	ask := cs.targetsToAskAbout(a)
+}
+
+// request requests advice for a step, unless the pool or the job has all that it may, or each target has been refused.
+func (p *Pool) request(now time.Time, want *adviceWant, cs *candidateSet) bool {
+	a, config := p.advice[want.key], p.queues[want.job.queue].Advice
+	isNew := a == nil
+	if isNew {
+		if len(p.advice) >= maxAdvice || want.job.advised >= maxJobAdvice {
+			return false
+		}
+		a = &stepAdvice{refused: map[work.TargetID]bool{}}
+	}
+	ask := cs.targetsToAskAbout(a, namedTargets(config))
 	if len(ask) == 0 {
-		return nil
+		return false
+	}
+	if isNew {
+		p.advice[want.key] = a
+		want.job.advised++
 	}
-	p.adviceAsked = append(p.adviceAsked, now)
 	a.askedAt, a.pending = now, true
 	a.incarnations = map[work.TargetID]int64{}
 	for _, id := range ask {
 		a.incarnations[id] = p.targets[id].reportedIncarnation
 	}
-	p.commands = append(p.commands, AdviceRequest{Job: j.id, Occurrence: occurrence, Step: step, Targets: ask})
-	return nil
+	r := AdviceRequest{Job: want.job.id, Occurrence: want.key.occurrence, Step: want.key.step, Targets: ask, Duration: config.CallTime(len(ask))}
+	p.adviceRequests++
+	p.adviceDuration += r.Duration
+	p.commands = append(p.commands, r)
+	return true
 }
 
-// mayAskForAdvice reports whether a further request may be sent. The response to another one starts the next round of planning.
-func (p *Pool) mayAskForAdvice(now time.Time) bool {
-	for len(p.adviceAsked) > 0 && now.Sub(p.adviceAsked[0]) >= adviceTimeout {
-		p.adviceAsked = p.adviceAsked[1:] // lost
+// namedTargets returns how many targets a request may name.
+func namedTargets(config *work.AdviceConfig) int {
+	if config.TimePerTarget <= 0 {
+		return maxAdviceTargets
 	}
-	return len(p.adviceAsked) < maxAdviceInFlight
+	n := (config.TicketValidity/adviceValidityParts - config.DecisionTime) / config.TimePerTarget
+	return int(min(max(n, 1), maxAdviceTargets))
+}
+
+// mayAskForAdvice reports whether a further request may be sent. The response to another one starts the next round of planning.
+func (p *Pool) mayAskForAdvice() bool {
+	return p.adviceRequests < adviceInFlight || p.adviceRequests < maxAdviceInFlight && p.adviceDuration < adviceAhead
 }
 
 // deleteAdvice forgets the advice for a step.
@@ -117,8 +194,8 @@
 	}
 }
 
-// targetsToAskAbout returns the targets with the most free CPU that have not been refused for the step.
-func (cs *candidateSet) targetsToAskAbout(a *stepAdvice) []work.TargetID {
+// targetsToAskAbout returns at most limit targets that have not been refused for the step, those with the most free CPU.
+func (cs *candidateSet) targetsToAskAbout(a *stepAdvice, limit int) []work.TargetID {
 	index := make([]int, 0, len(cs.list))
 	for k := range cs.list {
 		if !a.refused[cs.list[k].ID] {
@@ -127,7 +204,7 @@
 	}
 	sort.SliceStable(index, func(i, k int) bool { return cs.list[index[i]].Free.CPU > cs.list[index[k]].Free.CPU })
 	var ids []work.TargetID
-	for _, k := range index[:min(len(index), maxAdviceTargets)] {
+	for _, k := range index[:min(len(index), limit)] {
 		ids = append(ids, cs.list[k].ID)
 	}
 	return ids
@@ -143,23 +220,22 @@
 	return true
 }
 
-// HandleAdvice handles the response of the advice service; granted is nil if there was none.
-func (p *Pool) HandleAdvice(now time.Time, r AdviceRequest, granted map[work.TargetID]string, validity time.Duration) {
-	if len(p.adviceAsked) > 0 {
-		p.adviceAsked = p.adviceAsked[1:]
-	}
+// HandleAdvice handles the response of the advice service. Call it once for each request, also if there was no response.
+func (p *Pool) HandleAdvice(r AdviceRequest, response Advice) {
+	p.adviceRequests--
+	p.adviceDuration -= r.Duration
 	p.replan = true
 	a := p.advice[stepKey{r.Job, r.Occurrence, r.Step}]
 	if a == nil {
 		return
 	}
 	a.pending = false
-	if granted == nil {
+	if response.Granted == nil {
 		return
 	}
-	a.granted, a.validUntil = granted, a.askedAt.Add(validity)
+	a.granted, a.validUntil = response.Granted, response.IssuedAfter.Add(response.Validity)
 	for _, id := range r.Targets {
-		if granted[id] == "" {
+		if response.Granted[id] == "" {
 			a.refused[id] = true
 		}
 	}
--- a/internal/jobs/command.go
+++ b/internal/jobs/command.go
@@ -1,6 +1,10 @@
 package jobs
 
-import "github.com/toucanhatch/toucanhatch/internal/work"
+import (
+	"time"
+
+	"github.com/toucanhatch/toucanhatch/internal/work"
+)
 
 // Command is a message for a target or for the advice service.
 type Command interface{ isCommand() }
@@ -40,6 +44,7 @@
 	Occurrence int
 	Step       int
 	Targets    []work.TargetID
+	Duration   time.Duration // of a call with so many targets, by the configuration
 }
 
 func (StartCommand) isCommand()  {}
--- a/internal/jobs/lookahead.go
+++ b/internal/jobs/lookahead.go
@@ -265,7 +265,7 @@
 	if p.queues[j.queue].Advice == nil {
 		return unrestrictedAdvice
 	}
-	if a := p.advice[key]; a != nil && !a.pending && len(a.granted) > 0 && now.Add(adviceMargin).Before(a.validUntil) && !p.stale(a) {
+	if a := p.advice[key]; a != nil && p.usableAdvice(now, a) {
 		return a
 	}
 	return nil
--- a/internal/jobs/plan.go
+++ b/internal/jobs/plan.go
@@ -34,9 +34,10 @@
 		p.planJob(now, j, candidates)
 		p.emitPlanned(j)
 		if candidates.full() {
-			return
+			break
 		}
 	}
+	p.requestAdvice(now, candidates)
 }
 
 // rankedJobs returns the active jobs with runnable tasks in the order in which they get resources.
@@ -215,7 +216,7 @@
 	if !reservation(spec).Fits(cs.maxFree) || p.exceedsCap(j, spec, 1) {
 		return
 	}
-	advice := p.adviceFor(now, j, o.number, s, cs)
+	advice := p.adviceFor(now, j, o.number, s)
 	if advice == nil {
 		return // no valid tickets yet
 	}
@@ -316,7 +317,7 @@
 	if now.Before(st.gangRetryAt) || p.exceedsCap(j, spec, len(st.tasks)) || !p.Space.Fits(space.Runs, ident.Bytes(len(st.tasks))*runSize) {
 		return
 	}
-	advice := p.adviceFor(now, j, o.number, s, cs)
+	advice := p.adviceFor(now, j, o.number, s)
 	if advice == nil {
 		return
 	}
--- a/internal/jobs/pool.go
+++ b/internal/jobs/pool.go
@@ -48,7 +48,10 @@
 	awaitingWrite  []*run // planned runs whose records are not durable yet
 	ratios         map[work.QueueID]*timeRatio
 	advice         map[stepKey]*stepAdvice
-	adviceAsked    []time.Time     // when the requests in flight were sent, the oldest first
+	adviceWanted   []adviceWant    // steps that need advice in this round of planning
+	adviceByAge    bool            // the next request is for the step whose last one is the longest ago
+	adviceRequests int             // requests without a response
+	adviceDuration time.Duration   // that the service needs for these
 	replan         bool            // a task may have become startable since the last round of planning
 	plannedRuns    []*run          // in the current round of planning
 	gangSearches   time.Time       // until then, searches for places of gangs have used up their part of the processor
--- a/internal/jobs/steps_test.go
+++ b/internal/jobs/steps_test.go
@@ -94,7 +94,7 @@
 	if !ok || len(ask.Targets) != 3 {
 		t.Fatalf("command %+v, want an advice request for three targets", commands[0])
 	}
-	h.pool.HandleAdvice(h.now, ask, map[work.TargetID]string{"t1": "ticket"}, q.Advice.TicketValidity)
+	h.pool.HandleAdvice(ask, Advice{Granted: map[work.TargetID]string{"t1": "ticket"}, Validity: q.Advice.TicketValidity, IssuedAfter: h.now})
 	starts := h.planAndCarryOut()
 	if len(starts) != 2 {
 		t.Fatalf("%d tasks start, want 2", len(starts))
@@ -142,9 +142,11 @@
 		}
 		asked += len(asks)
 		for i, ask := range asks {
-			if i%8 != 7 { // the others are lost
-				h.pool.HandleAdvice(h.now, ask, map[work.TargetID]string{"t1": "ticket"}, q.Advice.TicketValidity)
+			response := Advice{Granted: map[work.TargetID]string{"t1": "ticket"}, Validity: q.Advice.TicketValidity, IssuedAfter: h.now}
+			if i%8 == 7 {
+				response = Advice{} // the call has failed
 			}
+			h.pool.HandleAdvice(ask, response)
 		}
 	}
 	if started < occurrences {
@@ -152,6 +154,88 @@
 	}
 }
 
+// Guards against more calls at the same time than the advice service can handle before the tickets of the first expire, and against
+// calls that name so many targets that their tickets are of no use.
+func TestAdviceRequestsFitTheService(t *testing.T) {
+	for name, test := range map[string]struct {
+		config          work.AdviceConfig
+		calls, maxNamed int
+	}{
+		"long calls":             {work.AdviceConfig{DecisionTime: 100 * time.Millisecond, TimePerTarget: 10 * time.Millisecond, TicketValidity: 3 * time.Second}, 2, 30},
+		"short calls":            {work.AdviceConfig{DecisionTime: 10 * time.Millisecond, TicketValidity: 3 * time.Second}, 10, 30},
+		"very short calls":       {work.AdviceConfig{TicketValidity: 3 * time.Second}, 24, 30},
+		"many targets take long": {work.AdviceConfig{DecisionTime: 300 * time.Millisecond, TimePerTarget: 100 * time.Millisecond, TicketValidity: 2 * time.Second}, 2, 2},
+		"one target takes long":  {work.AdviceConfig{DecisionTime: 3 * time.Second, TimePerTarget: 100 * time.Millisecond, TicketValidity: 10 * time.Second}, 2, 1},
+	} {
+		h := newHarness(t, 40)
+		q := testQueue
+		q.Advice = &test.config
+		h.pool.SetQueues([]work.Queue{q})
+		for i := range 30 {
+			spec := work.Spec{Steps: []work.Step{smallStep}}
+			h.pool.Submit(h.now, work.JobID(fmt.Sprintf("%016d", i)), q, &spec)
+		}
+		h.planAndCarryOut()
+		for range 3 {
+			h.pool.replan = true
+			h.pool.Plan(h.now)
+		}
+		asks := adviceRequests(h.pool.TakeCommands())
+		if got := h.pool.adviceRequests; got != test.calls {
+			t.Errorf("%s: requests without a response: got %d, want %d", name, got, test.calls)
+		}
+		for _, ask := range asks {
+			if got, limit := len(ask.Targets), test.maxNamed; got > limit {
+				t.Errorf("%s: targets in a request: got %d, want at most %d", name, got, limit)
+			}
+		}
+	}
+}
+
+func adviceRequests(commands []Command) (asks []AdviceRequest) {
+	for _, cmd := range commands {
+		if ask, ok := cmd.(AdviceRequest); ok {
+			asks = append(asks, ask)
+		}
+	}
+	return asks
+}
+
+// Guards against steps that ask again and again, because their tickets expire before a target has room, while those behind them
+// never ask.
+func TestAdviceRequestsTakeTurns(t *testing.T) {
+	const blocked, calls = 20, 60
+	h := newHarness(t, 2)
+	q := testQueue
+	q.Advice = &work.AdviceConfig{DecisionTime: 300 * time.Millisecond, TicketValidity: time.Second}
+	last := q
+	last.ID, last.Priority = "last", 1
+	h.pool.SetQueues([]work.Queue{q, last})
+	for i := range blocked {
+		h.pool.Submit(h.now, work.JobID(fmt.Sprintf("%016d", i)), q, &work.Spec{Steps: []work.Step{smallStep}})
+		h.now = h.now.Add(time.Millisecond)
+	}
+	h.pool.Submit(h.now, "00000000000000ff", last, &work.Spec{Steps: []work.Step{smallStep}})
+	asked := map[work.JobID]int{}
+	for range calls {
+		h.pool.Plan(h.now)
+		for _, ask := range adviceRequests(h.pool.TakeCommands()) {
+			asked[ask.Job]++
+			h.pool.HandleAdvice(ask, Advice{Granted: map[work.TargetID]string{"t0": "ticket", "t1": "ticket"}, IssuedAfter: h.now}) // expires at once
+		}
+	}
+	if got := asked["00000000000000ff"]; got == 0 {
+		t.Errorf("requests for the last step: got none among %d others (%v), want some", calls, asked)
+	}
+	total, most := 0, 0
+	for _, n := range asked {
+		total, most = total+n, max(most, n)
+	}
+	if half := total / 2; most < half-1 {
+		t.Errorf("requests for the first step in the order of planning: got %d (%v), want half of %d", most, asked, total)
+	}
+}
+
 // Occurrences start when they are due, not before, and each runs all steps.
 func TestScheduledOccurrences(t *testing.T) {
 	h := newHarness(t, 1)
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -94,7 +94,7 @@
 	Log        plog.Log
 	Targets    Targets
 	MaxAppend  ident.Bytes   // limit of the log on the size of an append; 0 if there is none
-	Adviser    agent.Adviser // nil if there is no advice service
+	Adviser    agent.Adviser // bounds the time of its calls; nil if there is no advice service
 	Bounds     jobs.Bounds
 	Space      space.Account // bounds what the jobs of the partition take in memory
 	Clock      clock.Clock
@@ -455,23 +455,20 @@
 func (s *Shard) requestAdvice(p *pool, req jobs.AdviceRequest) {
 	if s.Adviser == nil {
 		s.Logger.Warn("queue needs advice, but no advice service is configured", "job", req.Job)
+		s.Clock.AfterFunc(noAdviserPause, func() { s.post(func(time.Time) { p.HandleAdvice(req, jobs.Advice{}) }) })
 		return
 	}
 	go func() {
-		ctx, cancel := context.WithTimeout(s.ctx, adviceTimeout)
-		defer cancel()
-		var granted map[work.TargetID]string
-		var validity time.Duration
+		var response jobs.Advice
 		panics.Catch(s.Logger, "advice", func() {
 			var err error
-			if granted, validity, err = s.Adviser.Advise(ctx, req); err != nil {
-				s.Logger.Info("advice request failed", "job", req.Job, "step", req.Step, "error", err)
-				granted = nil
+			if response, err = s.Adviser.Advise(s.ctx, req); err != nil {
+				response = jobs.Advice{}
 			}
 		})
-		s.post(func(now time.Time) { p.HandleAdvice(now, req, granted, validity) })
+		s.post(func(time.Time) { p.HandleAdvice(req, response) })
 	}()
 }
 
-// adviceTimeout bounds a call to the advice service, which handles the calls of one process one after the other.
-const adviceTimeout = 2 * time.Second
+// noAdviserPause is the time until a request to an advice service that isn't configured is given up.
+const noAdviserPause = 2 * time.Second
--- a/internal/work/types.go
+++ b/internal/work/types.go
@@ -230,6 +230,11 @@
 	TicketValidity time.Duration `cbor:"Validity"` // how long a ticket may be used
 }
 
+// CallTime returns how long the advice service takes for a call that names some targets.
+func (a *AdviceConfig) CallTime(targets int) time.Duration {
+	return a.DecisionTime + time.Duration(targets)*a.TimePerTarget
+}
+
 // EndKind tells how a run ended.
 type EndKind string
 
