shard: a job that was canceled before its submission arrives does not run

Cause: a 410 says that the job won't run. The owner proved its ownership before that answer, so that it was true of all that had been stored, but kept nothing of it: a submission that arrived later was a new job.

Ruled out: a change of owner (there was none), and a cancel that was lost or late (it was answered by the same owner).

Change: the owner stores the cancellation of an unknown job in the write that proves its ownership, and answers a submission with 410 for 2 minutes, as do the owners after it. A submission is sent on for a minute at most after it was read. This works whichever process stands still and whoever owns the pool, since all submissions pass the owner, and no former owner can store one. A cancellation concerns the jobs that its caller may cancel. They may take an eighth of a partition's space (limits.cancellations); beyond it such a cancel gets 503. A known job that was canceled is kept for 2 minutes, where bounds.retention is shorter: a repeat of its submission was a new job after that.

--- a/internal/jobd/decision.go
+++ b/internal/jobd/decision.go
@@ -127,7 +127,7 @@
 }
 
 // Submit submits a job. The error is nil if the job is stored, a [*work.SpecError] if it can't be stored, a
-// [*shard.RefusedError], a [*NotRunError], [ErrIDInUse] or [ErrSuperseded] if it is not stored and never will be, and
+// [*shard.RefusedError], a [*NotRunError], [shard.ErrCanceled], [ErrIDInUse] or [ErrSuperseded] if it is not stored and never will be, and
 // [ErrUnknownOutcome] if it may be stored.
 func (d *Decision) Submit(ctx context.Context, id work.JobID, spec *work.Spec) error {
 	s, q := d.service, d.queue
@@ -150,6 +150,8 @@
 		err = d.superseded()
 	case r.Outcome == outcomeIDInUse: // an earlier attempt would have found the same job
 		err = ErrIDInUse
+	case r.Outcome == outcomeCanceled: // an earlier attempt would have found the same
+		err = shard.ErrCanceled
 	case uncertain, r.Outcome == outcomeUndecoded: // an earlier attempt may still be stored, or is
 		err = ErrUnknownOutcome
 	case r.Outcome == outcomeInvalid:
@@ -163,7 +165,8 @@
 	return err
 }
 
-// Cancel cancels a job; found is false if there is no such job in the pool of the queue.
+// Cancel cancels a job; found is false if there is no such job in the pool of the queue, and none can be submitted for some time.
+// The error is a [*NotRunError] if that can't be kept for want of space.
 func (d *Decision) Cancel(ctx context.Context, id work.JobID) (found bool, err error) {
 	s := d.service
 	if err := d.mayAct(ctx); err != nil {
@@ -179,6 +182,8 @@
 		return false, nil
 	case r.Outcome == outcomeSuperseded && !uncertain:
 		return false, d.superseded()
+	case r.Outcome == outcomeRefused && !uncertain:
+		return false, &NotRunError{RetryAfter: r.RetryAfter}
 	default:
 		return false, ErrUnknownOutcome
 	}
--- a/internal/jobd/service.go
+++ b/internal/jobd/service.go
@@ -97,8 +97,9 @@
 	outcomeInvalid   outcome = "invalid"   // the job can't be stored
 	outcomeUndecoded outcome = "undecoded" // the job is stored, and its owner can't decode it
 	outcomeNotOwner  outcome = "not_owner"
-	outcomeUncertain outcome = "unsure" // the request may have been carried out
-	outcomeIDInUse   outcome = "in_use" // the job's id is that of another tenant's job
+	outcomeUncertain outcome = "unsure"   // the request may have been carried out
+	outcomeIDInUse   outcome = "in_use"   // the job's id is that of another tenant's job
+	outcomeCanceled  outcome = "canceled" // the job was canceled before it was submitted
 	// outcomeSuperseded is that of a request which a newer version of the configuration decides anew: the one that the entry
 	// has, or the owner.
 	outcomeSuperseded outcome = "superseded"
@@ -182,6 +183,8 @@
 		r.Outcome, r.RetryAfter = outcomeRefused, refused.RetryAfter
 	case errors.Is(err, shard.ErrIDInUse):
 		r.Outcome = outcomeIDInUse
+	case errors.Is(err, shard.ErrCanceled):
+		r.Outcome = outcomeCanceled
 	case errors.Is(err, shard.ErrInvalid):
 		r.Outcome = outcomeInvalid
 	case errors.Is(err, shard.ErrUndecoded):
--- a/internal/jobd/settings.go
+++ b/internal/jobd/settings.go
@@ -46,6 +46,7 @@
 	Partition      ident.Bytes `toml:"partition"`       // memory that the jobs of one partition may take
 	SmallestMemory ident.Bytes `toml:"smallest_memory"` // memory of the smallest VM that may own a partition
 	TargetTasks    int         `toml:"target_tasks"`    // tasks that one target runs at the same time
+	Cancellations  ident.Bytes `toml:"cancellations"`   // memory that those of unknown jobs of one partition may take
 }
 
 // LogSettings describe the platform's log.
@@ -179,8 +180,8 @@
 	if err := s.Limits.Check(); err != nil {
 		errs = append(errs, err)
 	}
-	if s.Limits.Partition < 0 || s.Limits.SmallestMemory < 0 || s.Limits.TargetTasks < 0 {
-		addError("limits.partition = %d, smallest_memory = %d, target_tasks = %d: none may be negative", s.Limits.Partition, s.Limits.SmallestMemory, s.Limits.TargetTasks)
+	if s.Limits.Partition < 0 || s.Limits.SmallestMemory < 0 || s.Limits.TargetTasks < 0 || s.Limits.Cancellations < 0 {
+		addError("limits.partition = %d, smallest_memory = %d, target_tasks = %d, cancellations = %d: none may be negative", s.Limits.Partition, s.Limits.SmallestMemory, s.Limits.TargetTasks, s.Limits.Cancellations)
 	}
 	switch s.LogLevel {
 	case "trace", "debug", "info", "warn", "error":
--- a/internal/jobd/shards.go
+++ b/internal/jobd/shards.go
@@ -21,7 +21,7 @@
 func (d *Daemon) startOwner(p plog.TopicPartition, epoch plog.Epoch) group.Owner {
 	s := &shard.Shard{
 		Partition: p.Partition, Partitions: d.Settings.Log.Partitions, Epoch: epoch, Log: d.Platform.Log, Targets: shardTargets{d}, MaxAppend: d.Settings.Log.MaxAppend, Adviser: d.adviser,
-		Bounds: d.activeSettings.Load().bounds(), Space: space.Account{Limit: d.Settings.partitionSpace(), Total: d.space}, Clock: d.Clock, Logger: d.Logger, Events: d.logEvent,
+		Bounds: d.activeSettings.Load().bounds(), Space: space.Account{Limit: d.Settings.partitionSpace(), Cancellations: d.Settings.Limits.Cancellations, Total: d.space}, Clock: d.Clock, Logger: d.Logger, Events: d.logEvent,
 		Queues: d.queues, Tenants: d.tenants, RecordCaps: recordCaps(p.Partition), WallOffset: d.service.wallClock.Offset, LastConfirmed: d.member.ConfirmedAt,
 		RecordWrite:    func(took time.Duration) { writeLatencies.Record(latencyKeyAll, took) },
 		RecordTakeover: func(took time.Duration) { takeoverLatencies.Record(latencyKeyAll, took) },
--- a/internal/jobs/expire_test.go
+++ b/internal/jobs/expire_test.go
@@ -55,3 +55,23 @@
 		t.Errorf("cancel of the completed job: known %v, durable with write %d, want a write that is already durable", known, write)
 	}
 }
+
+// Guards against a repeat of a submission that arrives after its canceled job is forgotten, and runs.
+func TestCanceledJobIsKept(t *testing.T) {
+	h := newHarness(t, 0)
+	h.pool.Bounds.Retention, h.pool.Bounds.CanceledRetention = 10*time.Second, time.Minute
+	h.submit(work.Step{Count: 1, Need: work.Resources{CPU: 1000}, Estimate: time.Second})
+	h.pool.Cancel(h.now, "0000000000000001")
+	_, write := h.pool.BeginWrite()
+	h.pool.MarkDurable(h.now, write)
+	for _, test := range []struct {
+		after time.Duration
+		want  bool
+	}{{20 * time.Second, true}, {50 * time.Second, false}} {
+		h.now = h.now.Add(test.after)
+		h.pool.Expire(h.now)
+		if got := h.pool.Known("0000000000000001"); got != test.want {
+			t.Errorf("%v later: known %v, want %v", test.after, got, test.want)
+		}
+	}
+}
--- a/internal/jobs/pool.go
+++ b/internal/jobs/pool.go
@@ -77,9 +77,11 @@
 	InheritedLease time.Duration // time from a takeover until all leases given by the previous owner have expired
 	MaxLease       time.Duration // longest lease that the owner gives
 	Retention      time.Duration // how long a finished job remains visible
-	LookAhead      bool          // targets are reserved for large waiting tasks
-	TargetTasks    int           // tasks that one target runs at the same time, whatever they need; 0 sets no limit
-	MaxRecord      ident.Bytes   // limit of the log on the size of a record, at least [MinRecord]; 0 if there is none
+	// CanceledRetention is the same for a job that was canceled, if it is longer: a repeat of its submission may come late.
+	CanceledRetention time.Duration
+	LookAhead         bool        // targets are reserved for large waiting tasks
+	TargetTasks       int         // tasks that one target runs at the same time, whatever they need; 0 sets no limit
+	MaxRecord         ident.Bytes // limit of the log on the size of a record, at least [MinRecord]; 0 if there is none
 }
 
 // NewPool returns an empty pool.
@@ -294,7 +296,7 @@
 		if j.finished() && j.lastWrite <= p.durable && p.wallTime(now).Sub(j.finishedAt) > maxCommandDelay {
 			p.strip(j)
 		}
-		if j.finished() && p.wallTime(now).Sub(j.finishedAt) > p.Bounds.Retention && p.dirty[id] == nil {
+		if j.finished() && p.wallTime(now).Sub(j.finishedAt) > p.retention(j) && p.dirty[id] == nil {
 			removed = append(removed, j.keys()...)
 			p.remove(j)
 		}
@@ -302,6 +304,14 @@
 	return removed
 }
 
+// retention returns how long a finished job remains visible.
+func (p *Pool) retention(j *job) time.Duration {
+	if j.canceled {
+		return max(p.Bounds.Retention, p.Bounds.CanceledRetention)
+	}
+	return p.Bounds.Retention
+}
+
 // sortedTargets returns the targets ordered by zone and id.
 func (p *Pool) sortedTargets() []*target {
 	if p.sorted == nil {
--- a/internal/shard/requests.go
+++ b/internal/shard/requests.go
@@ -29,10 +29,10 @@
 func (e *RefusedError) Error() string { return "refused, come back in " + e.RetryAfter.String() }
 
 // Submit stores a job and returns once it is durable. A job that is known already is not changed; the error is [ErrIDInUse]
-// if it is another tenant's.
+// if it is another tenant's. It is [ErrCanceled] if the job was unknown when it was canceled, less than cancellationTime ago.
 func (s *Shard) Submit(ctx context.Context, queue work.Queue, id work.JobID, spec *work.Spec) error {
 	reply := make(chan error, 1)
-	inUse := false
+	inUse, canceled := false, false
 	err := s.call(ctx, reply, func(now time.Time) {
 		if s.undecoded[id] {
 			reply <- ErrUndecoded
@@ -49,6 +49,11 @@
 			s.replyWhenDurable(p, waiter{writeSeq: p.StoredBy(id), job: id, reply: reply})
 			return
 		}
+		if canceled = s.canceled(now, queue.Pool, id, spec.Tenant); canceled {
+			s.Logger.Info("the job was canceled before it was submitted", "job", id, "queue", queue.ID, "tenant", spec.Tenant)
+			s.proveOwnership(reply) // the cancellation may not be stored yet
+			return
+		}
 		a := p.Submit(now, id, queue, spec)
 		if a.Refused {
 			if !s.confirmedWithin(answerValidity) { // a later owner may know the job
@@ -60,13 +65,17 @@
 		}
 		s.replyWhenDurable(p, waiter{writeSeq: a.Write, job: id, newJob: true, reply: reply})
 	})
-	if err != nil && !errors.Is(err, ErrInvalid) {
+	switch {
+	case err != nil && !errors.Is(err, ErrInvalid):
 		return err
+	case canceled:
+		return ErrCanceled
 	}
 	return submitError(err, inUse)
 }
 
-// Cancel cancels a job and returns once that is durable. known is false if there is no such job for the caller.
+// Cancel cancels a job and returns once that is durable. known is false if there is no such job for the caller, which also
+// holds for a submission that comes later. The error is a [*RefusedError] if there is no space to keep that.
 func (s *Shard) Cancel(ctx context.Context, caller work.Caller, pool ident.PoolID, id work.JobID) (known bool, err error) {
 	reply := make(chan error, 1)
 	found := false
@@ -86,11 +95,14 @@
 			}
 			writeSeq, found = p.Cancel(now, id)
 		}
-		if !found {
+		switch {
+		case found:
+			s.replyWhenDurable(p, waiter{writeSeq: writeSeq, job: id, reply: reply})
+		case p.Known(id): // another tenant's
 			s.proveOwnership(reply)
-			return
+		default:
+			s.cancelUnknown(now, caller, pool, id, reply)
 		}
-		s.replyWhenDurable(p, waiter{writeSeq: writeSeq, job: id, reply: reply})
 	}
 	if err := s.call(ctx, reply, cancel); err != nil {
 		return false, err // the job may be canceled later, once it is in memory
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -121,15 +121,16 @@
 	ctx                  context.Context
 	stop                 context.CancelFunc
 	pools                map[ident.PoolID]*pool
-	writes               delay.Tracker                        // of the durations of writes
-	inFlight             *write                               // set while no other write may start: also for refusedPause after a refusal
-	proofWaiters         []chan error                         // requests that wait for a write that proves the ownership
-	seq                  int64                                // of the last append
-	tombstones           []plog.Record                        // remove the records of expired jobs
-	undecoded            map[work.JobID]bool                  // stored jobs of which a record can't be decoded
-	partlyRead           bool                                 // there are stored records that can't be asked for
-	reserving            work.JobID                           // at the takeover, the job whose records are being read
-	restoring            bool                                 // the records of deferred jobs are being read
+	writes               delay.Tracker       // of the durations of writes
+	inFlight             *write              // set while no other write may start: also for refusedPause after a refusal
+	proofWaiters         []chan error        // requests that wait for a write that proves the ownership
+	seq                  int64               // of the last append
+	tombstones           []plog.Record       // remove the records of expired jobs
+	undecoded            map[work.JobID]bool // stored jobs of which a record can't be decoded
+	partlyRead           bool                // there are stored records that can't be asked for
+	reserving            work.JobID          // at the takeover, the job whose records are being read
+	restoring            bool                // the records of deferred jobs are being read
+	cancellations        cancellations
 	awaitingRestore      map[work.JobID][]func(now time.Time) // requests that need a deferred job
 	calibrations         []*jobs.Calibration                  // stored by the previous owner
 	lastCalibrationWrite time.Time                            // when the pools' calibrations were last written
@@ -185,6 +186,7 @@
 		s.Logger.Info("the pace of the log has changed", "partition", s.Partition, "state", string(state), "limit", limit)
 	}}
 	s.pools, s.undecoded = map[ident.PoolID]*pool{}, map[work.JobID]bool{}
+	s.cancellations = cancellations{jobs: map[canceledJob][]cancellation{}, unsaved: map[string]cancellation{}}
 	s.awaitingRestore = map[work.JobID][]func(now time.Time){}
 }
 
@@ -336,6 +338,7 @@
 		p.Fence, p.OwnedSince = work.Fence(s.Epoch), s.takeoverStart
 		p.Bounds, p.Space = s.Bounds, &s.Space
 		p.Bounds.InheritedLease, p.Bounds.MaxLease = previousLeaseTime, maxLease
+		p.Bounds.CanceledRetention = cancellationTime
 		p.Events = s.Events
 		p.SetWallOffset(s.WallOffset()) // stored times are wall times
 		p.SetLimits(s.allowances.Of(id))
@@ -371,6 +374,7 @@
 	}
 	if now.Sub(s.lastExpiry) > expirePeriod {
 		s.lastExpiry = now
+		s.expireCancellations(now)
 		for _, p := range s.pools {
 			for _, key := range p.Expire(now) {
 				s.tombstones = append(s.tombstones, plog.Record{Key: key})
--- a/internal/shard/write.go
+++ b/internal/shard/write.go
@@ -44,12 +44,13 @@
 
 // write is a write in flight: all changes of the pools since the previous one, in one or more appends.
 type write struct {
-	startedAt    time.Time
-	writeSeqs    map[*pool]jobs.WriteSeq
-	changes      map[*pool][]jobs.Change
-	proofWaiters []chan error
-	invalid      map[string]bool // keys of the records that the log has rejected
-	caps         *quota.Write    // nil if no allowance has changed
+	startedAt     time.Time
+	writeSeqs     map[*pool]jobs.WriteSeq
+	changes       map[*pool][]jobs.Change
+	proofWaiters  []chan error
+	invalid       map[string]bool         // keys of the records that the log has rejected
+	caps          *quota.Write            // nil if no allowance has changed
+	cancellations map[string]cancellation // by the keys of their records
 }
 
 // startWrite writes all changes, unless a write is in flight or the last one was refused less than refusedPause ago.
@@ -61,6 +62,7 @@
 	records := s.tombstones
 	s.tombstones = nil
 	records = s.appendAllowances(w, records)
+	records = s.appendCancellations(w, records)
 	for _, p := range s.pools {
 		changed, writeSeq := p.BeginWrite()
 		if len(changed) == 0 {
@@ -189,8 +191,9 @@
 	case err == nil && len(w.invalid) > 0:
 		s.inFlight = nil
 		s.allowancesStored(w)
+		proofErr := s.cancellationsError(w)
 		for _, reply := range w.proofWaiters {
-			reply <- nil
+			reply <- proofErr
 		}
 		s.recordsRejected(now, w)
 	case err == nil:
@@ -246,6 +249,7 @@
 	if w.caps != nil {
 		s.allowances.RetryWrite(w.caps)
 	}
+	s.retryCancellations(w)
 	for p, changes := range w.changes {
 		writeSeq := w.writeSeqs[p]
 		p.refuseWaiting(now, func(x waiter) bool { return x.writeSeq <= writeSeq })
@@ -316,7 +320,7 @@
 		for _, r := range page.Records {
 			before := after
 			after = r.Key
-			if r.Key == proofKey || s.readCalibration(r) || s.readAllowance(r) {
+			if r.Key == proofKey || s.readCalibration(r) || s.readAllowance(r) || s.readCancellation(r) {
 				continue
 			}
 			s.addStored(stored, r, before)
--- a/internal/space/space.go
+++ b/internal/space/space.go
@@ -1,6 +1,7 @@
 package space
 
 import (
+	"cmp"
 	"sync/atomic"
 
 	"github.com/toucanhatch/toucanhatch/pkg/ident"
@@ -15,6 +16,8 @@
 	Resident  Use = "resident"  // the other unfinished jobs: large, scheduled or service ones
 	Finished  Use = "finished"  // jobs that have ended and are still shown
 	Runs      Use = "runs"      // runs of tasks
+	// Cancellations is for those of unknown jobs.
+	Cancellations Use = "cancellations"
 )
 
 // SmallJob is the size up to which a job is small.
@@ -26,6 +29,8 @@
 	// runsParts is the part of the limit that runs may take, beside the jobs that are bounded by it: more than the tasks of
 	// ordinary jobs need on a thousand targets.
 	runsParts = 2
+	// cancellationsParts is the part of the limit that cancellations of unknown jobs may take, beside the jobs.
+	cancellationsParts = 8
 	// partitionParts is the part of the smallest VM's memory for one partition.
 	partitionParts = 8
 	// totalParts is the part of a process's memory for all its partitions.
@@ -71,7 +76,9 @@
 type Account struct {
 	Limit ident.Bytes // 0 sets no limit
 	Total *Total      // of the process; may be nil
-	used  map[Use]ident.Bytes
+	// Cancellations is the limit on those of unknown jobs; 0 stands for an eighth of Limit.
+	Cancellations ident.Bytes
+	used          map[Use]ident.Bytes
 
 	deferred  int         // stored jobs that are not in memory
 	admitted  ident.Bytes // of jobs that this owner has admitted
@@ -132,6 +139,10 @@
 	if u == Runs {
 		return a.Limit <= 0 || a.used[Runs] == 0 || a.used[Runs]+n <= a.Limit/runsParts
 	}
+	if u == Cancellations {
+		limit := cmp.Or(a.Cancellations, a.Limit/cancellationsParts)
+		return (limit <= 0 || a.used[Cancellations]+n <= limit) && (a.Total == nil || a.Total.Limit <= 0 || a.Total.Used()+n <= a.Total.Limit)
+	}
 	if u == Resident && a.used[Resident] == 0 {
 		n = min(n, SmallJob)
 	}
