jobd: a submission that nobody waits for any more is not passed on

Clients that leave without a cancel have their jobs run, though nobody waits.

Cause: the time of a request counted from when its header was read, however long it had waited in the socket, and its client counted as there until the server had read the end of the connection, which happens in a goroutine of its own.

Change: the time of a request counts from when its last bytes arrived (TCP_INFO), and right before a submission is sent to an owner the process looks at that time, without relying on a timer, and at whether the connection has been closed. The outcome is "abandoned", the answer 503, since nothing was sent.

--- a/internal/jobd/connected_test.go
+++ b/internal/jobd/connected_test.go
@@ -17,13 +17,19 @@
 
 // startPeer starts a server that gives the same response to all requests, and returns its peer address.
 func startPeer(t *testing.T, response any) string {
+	t.Helper()
+	return startHandler(t, func(context.Context, link.Method, []byte) ([]byte, error) { return cbor.Marshal(response) })
+}
+
+// startHandler starts a daemon that handles requests of other daemons, and returns its address.
+func startHandler(t *testing.T, handle func(context.Context, link.Method, []byte) ([]byte, error)) string {
 	t.Helper()
 	addr := local.Addr()
 	l, err := link.Listen(t.Context(), addr)
 	if err != nil {
 		t.Fatal(err)
 	}
-	server := &link.Server{Listener: l, Handler: func(context.Context, link.Method, []byte) ([]byte, error) { return cbor.Marshal(response) }}
+	server := &link.Server{Listener: l, Handler: handle}
 	go func() { _ = server.Run(t.Context()) }() // ends with the test
 	return addr
 }
--- a/internal/jobd/service.go
+++ b/internal/jobd/service.go
@@ -97,9 +97,10 @@
 	outcomeInvalid   outcome = "invalid"   // the job can't be stored
 	outcomeUndecoded outcome = "undecoded" // the job is stored, and its owner can't decode it
 	outcomeNotOwner  outcome = "not_owner"
-	outcomeUncertain outcome = "unsure"   // the request may have been carried out
-	outcomeIDInUse   outcome = "in_use"   // the job's id is that of another tenant's job
-	outcomeCanceled  outcome = "canceled" // the job was canceled before it was submitted
+	outcomeUncertain outcome = "unsure"    // the request may have been carried out
+	outcomeIDInUse   outcome = "in_use"    // the job's id is that of another tenant's job
+	outcomeCanceled  outcome = "canceled"  // the job was canceled before it was submitted
+	outcomeAbandoned outcome = "abandoned" // the client has left or its time is over, so that the request was not passed on
 	// outcomeSuperseded is that of a request which a newer version of the configuration decides anew: the one that the entry
 	// has, or the owner.
 	outcomeSuperseded outcome = "superseded"
@@ -237,6 +238,9 @@
 	defer func() { countRequest(m, r.Outcome, s.Clock.Now().Sub(begin)) }()
 	p := s.partitionOf(req.Queue.Pool)
 	for {
+		if m == methodSubmit && abandoned(ctx) {
+			return response{Outcome: outcomeAbandoned}, uncertain
+		}
 		r = s.tryOwner(ctx, m, req, p)
 		if r.Outcome == outcomeUncertain {
 			uncertain = true
@@ -254,6 +258,13 @@
 	}
 }
 
+// abandoned reports whether nobody waits for the response to a request any more. The context of the request may not have ended
+// yet: after this process has stood still, its timers and reads are carried out in any order.
+func abandoned(ctx context.Context) bool {
+	deadline, bounded := ctx.Deadline()
+	return ctx.Err() != nil || bounded && !time.Now().Before(deadline) || guard.ClientGone(ctx)
+}
+
 // retryOwner reports whether a request without an answer from the pool's owner is sent again, elapsed after it came. A
 // submission that may have been carried out is repeated as long as its client waits: the client can't send it again, and a
 // repeat that succeeds tells the outcome. An isolated daemon gives up at once, since its clients are served elsewhere.
--- a/internal/netopt/netopt_other.go
+++ b/internal/netopt/netopt_other.go
@@ -16,5 +16,8 @@
 // Reusable returns true, since it can't check a connection here. The next use of a closed connection fails.
 func Reusable(net.Conn) bool { return true }
 
+// PeerOf returns nothing: the state of a connection can't be read here.
+func PeerOf(net.Conn) Peer { return Peer{} }
+
 // MaxFiles returns 0: the limit on open descriptors isn't known here.
 func MaxFiles() int { return 0 }
