soak: clients that leave and cancel their jobs elsewhere

A client submits to any daemon, which may be paused, waits for 10 to 510 ms, closes its connection and cancels the job at any daemon until that is confirmed. No task of the job may start later than 3 s (cancel_ms) after the confirmation, and the job may not be shown as waiting or at work at the end.

--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -71,7 +71,7 @@
 }
 
 // TestSoak injects random faults into a group of daemons. It guards against accepted
-// jobs that are lost, refused jobs that run, jobs that run twice, wrong job states, routes that are denied, dropped routes that are
+// jobs that are lost, refused jobs that run, canceled jobs that start, jobs that run twice, wrong job states, routes that are denied, dropped routes that are
 // served, and tasks that crash target after target.
 func TestSoak(t *testing.T) {
 	for _, k := range knownSeeds {
@@ -273,8 +273,10 @@
 	}
 	defer fleet.Close()
 	o := &outcomes{tenants: c, accepted: map[string]bool{}, unknown: map[string]bool{}, refused: map[string]bool{}, crashing: map[string]bool{}, long: settings == smallSpace}
+	var l *leavers
 	if c == nil {
 		fleet.Configure(ctx, 1, jobHost, soakPools)
+		l = newLeavers(fleet)
 	} else {
 		c.init(t, fleet, o)
 	}
@@ -324,6 +326,10 @@
 		sizes := rand.New(rand.NewPCG(seed, 400+uint64(n)))
 		clients.Go(func() { o.submitJobs(rng, sizes, n, daemons, end) })
 	}
+	if l != nil {
+		rng := rand.New(rand.NewPCG(seed, 700))
+		clients.Go(func() { l.run(rng, 4, daemons, end) })
+	}
 	for n := range 2 { // two concurrent series of faults, each over two of the daemons
 		rng := rand.New(rand.NewPCG(seed, 100+uint64(n)))
 		faults.Go(func() {
@@ -370,6 +376,8 @@
 	o.check(t, daemons, fleet)
 	if c != nil {
 		c.check()
+	} else {
+		l.check(t, daemons)
 	}
 	if t.Failed() {
 		t.Logf("seed %d:\n%s", seed, strings.Join(faultLog, "\n"))
@@ -437,6 +445,11 @@
 func call(method, addr, path, key, body string) (int, string) {
 	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
 	defer cancel()
+	return callWithin(ctx, method, addr, path, key, body)
+}
+
+// callWithin is call by a client that leaves when the context ends.
+func callWithin(ctx context.Context, method, addr, path, key, body string) (int, string) {
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+addr+path, strings.NewReader(body))
 	if err != nil {
 		return 0, ""
