jobs: nothing starts beside a run of unknown size

Cause: a finished job is restored without its tasks. Its runs that a target still reports are stopped by the new owner, but without their step nothing is reserved for them.

Change: a target with such a run is not usable, and starts that are planned for it are not sent. The run is being stopped, so that this lasts for the time of a stop. Ruled out: keeping the tasks of finished jobs at a takeover, for which there may be no space.

--- a/internal/jobs/run.go
+++ b/internal/jobs/run.go
@@ -115,8 +115,10 @@
 // attach assigns a run to a target and reserves its resources there.
 func (p *Pool) attach(r *run, t *target) {
 	r.target = t
-	if t.runs[r.key] == nil {
+	if before := t.runs[r.key]; before == nil {
 		p.Space.Add(space.Runs, runSize)
+	} else if before.spec == nil {
+		t.unsizedRuns--
 	}
 	t.runs[r.key] = r
 	t.orderedRuns = append(t.orderedRuns, r)
@@ -124,6 +126,8 @@
 		t.reserved = t.reserved.Plus(reservation(r.spec))
 		t.count(r.spec, 1)
 		p.hold(r, 1)
+	} else {
+		t.unsizedRuns++
 	}
 	if r.task != nil {
 		r.task.run = r
@@ -171,6 +175,8 @@
 			t.reserved = t.reserved.Minus(reservation(r.spec))
 			t.count(r.spec, -1)
 			p.hold(r, -1)
+		} else {
+			t.unsizedRuns--
 		}
 	}
 	if r.task != nil && r.task.run == r {
@@ -201,14 +207,14 @@
 func (p *Pool) dropPlanned(r *run) { p.detach(r) }
 
 // acceptsPlanned reports whether the target may still be told to start the runs that are planned for it. The writes of
-// their records may have taken seconds, in which it has begun to drain or has lost capacity.
+// their records may have taken seconds, in which it has begun to drain, has lost capacity or has reported a run of unknown size.
 func (t *target) acceptsPlanned() bool {
-	return !t.Draining && t.reserved.Fits(t.Capacity)
+	return !t.Draining && t.unsizedRuns == 0 && t.reserved.Fits(t.Capacity)
 }
 
 // withdrawPlanned removes a planned run whose target doesn't accept it any more, and the other members of its gang.
 func (p *Pool) withdrawPlanned(now time.Time, r *run) {
-	detail := fmt.Sprintf("not sent: draining %v, reserved %+v of %+v", r.target.Draining, r.target.reserved, r.target.Capacity)
+	detail := fmt.Sprintf("not sent: draining %v, runs of unknown size %d, reserved %+v of %+v", r.target.Draining, r.target.unsizedRuns, r.target.reserved, r.target.Capacity)
 	p.emit(Event{Kind: EventRejected, Job: r.key.task.Job, Task: r.key.task, Attempt: r.key.attempt, Target: r.target.ID, Detail: detail})
 	p.dropPlanned(r)
 	p.stopGang(now, r, "another gang member was not sent")
--- a/internal/jobs/target.go
+++ b/internal/jobs/target.go
@@ -22,6 +22,7 @@
 	reserved             work.Resources // by its runs
 	runs                 map[runKey]*run
 	orderedRuns          []*run          // the same runs, in the order in which they were assigned
+	unsizedRuns          int             // runs of which it is not known what they need: those of jobs without tasks in memory
 	serviceCPU           work.Millicores // reserved by service tasks
 	latencySensitiveRuns int             // runs of latency-sensitive tasks that are not best-effort
 	bestEffortRuns       int             // runs of best-effort tasks
@@ -130,9 +131,10 @@
 	return acks
 }
 
-// usable reports whether the target may get new tasks.
+// usable reports whether the target may get new tasks. What is free beside a run of unknown size isn't known; such a run is
+// being stopped.
 func (t *target) usable(now time.Time) bool {
-	return t.registered && !t.Draining && t.reportedIncarnation != 0 && !t.unreachable && t.cordon == NoCordon && !now.Before(t.backoffUntil)
+	return t.unsizedRuns == 0 && t.registered && !t.Draining && t.reportedIncarnation != 0 && !t.unreachable && t.cordon == NoCordon && !now.Before(t.backoffUntil)
 }
 
 // ensureTarget returns the entry of a target, and creates one for a target that is not in the list of live targets but
