jobs: a target that is away keeps its unanswered starts

Cause: the starts that a target has not answered are kept for 13 s, so that its next incarnation refuses them. forgetIfGone dropped the target with them once its registration had expired and no run was left.

Change: the target is kept until none of them can arrive any more. A run that exists only to be refused reserves what its task needs, where that is known, so that it doesn't make the target unusable.

--- a/internal/jobs/target.go
+++ b/internal/jobs/target.go
@@ -69,10 +69,15 @@
 
 // noteUnansweredStart notes the start command of a run that is about to be detached, and forgets those that can't arrive any more.
 func (t *target) noteUnansweredStart(r *run) {
-	t.unansweredStarts = slices.DeleteFunc(t.unansweredStarts, func(s unansweredStart) bool { return s.until.Before(r.conclusiveSince) })
+	t.forgetUnansweredStarts(r.conclusiveSince)
 	t.unansweredStarts = append(t.unansweredStarts, unansweredStart{r.key, r.conclusiveSince.Add(maxCommandDelay)})
 }
 
+// forgetUnansweredStarts forgets the start commands that can't arrive any more.
+func (t *target) forgetUnansweredStarts(now time.Time) {
+	t.unansweredStarts = slices.DeleteFunc(t.unansweredStarts, func(s unansweredStart) bool { return s.until.Before(now) })
+}
+
 // pendingAck says that the ends up to seq may be acknowledged once a write is durable.
 type pendingAck struct {
 	seq   int64
@@ -174,9 +179,10 @@
 	}
 }
 
-// forgetIfGone removes a target that is not registered and has no runs, unless a record may still name an end of its lease.
+// forgetIfGone removes a target that is not registered and has no runs, unless a record may still name an end of its lease, or a
+// start command may still arrive: the target may return under its id, and has to refuse it then.
 func (p *Pool) forgetIfGone(t *target) {
-	if !t.registered && len(t.runs) == 0 && !t.awaitsClearance {
+	if !t.registered && len(t.runs) == 0 && !t.awaitsClearance && len(t.unansweredStarts) == 0 {
 		delete(p.targets, t.ID)
 		p.sorted = nil
 	}
@@ -370,10 +376,12 @@
 			continue
 		}
 		r := &run{key: start.key, incarnation: incarnation, state: runRunning}
-		if j := p.jobs[start.key.task.Job]; j != nil && !j.finished() {
-			if tk, st := j.findTask(start.key.task); tk != nil && !tk.done && tk.run == nil {
-				// The task gets a new run only after the stop; otherwise both could run at once.
-				r.job, r.task, r.step, r.spec = j, tk, st, &j.spec.Steps[start.key.task.Step]
+		if j := p.jobs[start.key.task.Job]; j != nil {
+			if tk, st := j.findTask(start.key.task); tk != nil {
+				r.job, r.spec = j, &j.spec.Steps[start.key.task.Step]
+				if !j.finished() && !tk.done && tk.run == nil {
+					r.task, r.step = tk, st // the task gets a new run only after the stop; otherwise both could run at once
+				}
 			}
 		}
 		p.attach(r, t)
--- a/internal/jobs/tick.go
+++ b/internal/jobs/tick.go
@@ -23,6 +23,10 @@
 	p.setTypicalSlowdown()
 	for _, t := range p.sortedTargets() {
 		p.tickTarget(now, t)
+		if len(t.unansweredStarts) > 0 {
+			t.forgetUnansweredStarts(now)
+			p.forgetIfGone(t)
+		}
 	}
 	p.dropAdvice()
 	if len(p.caps.views) > 0 {
