jobs: a failed attempt of a gang counts once

Cause: handleFailure counted each member's end as a failed attempt of the gang.

Change: an attempt counts once, by its number, which is restored from the records of the members.

Tests: TestGangAttemptFailsOnce failed before ("the job has failed before attempt 2") and passes; the other tests of gangs pass unchanged.

--- a/internal/jobs/end.go
+++ b/internal/jobs/end.go
@@ -107,7 +107,10 @@
 	}
 	failures := tk.failures
 	if spec.Gang {
-		st.failures++
+		if end.Attempt > st.lastFailed { // several members may fail in one attempt
+			st.lastFailed = end.Attempt
+			st.failures++
+		}
 		failures = st.failures
 	}
 	if limit := p.queues[j.queue].MaxAttempts; limit > 0 && failures >= limit {
--- a/internal/jobs/job.go
+++ b/internal/jobs/job.go
@@ -59,11 +59,12 @@
 // stepState is the state of one step in one occurrence.
 type stepState struct {
 	tasks       []task
-	tasksLeft   int       // tasks that are not done
-	pendingDeps int       // steps it depends on that are not done
-	waiting     int       // tasks that are neither done nor have a run
-	failures    int       // failed attempts of a gang
-	gangRetryAt time.Time // no places are searched for the gang before this time
+	tasksLeft   int          // tasks that are not done
+	pendingDeps int          // steps it depends on that are not done
+	waiting     int          // tasks that are neither done nor have a run
+	failures    int          // failed attempts of a gang
+	lastFailed  work.Attempt // highest of these
+	gangRetryAt time.Time    // no places are searched for the gang before this time
 }
 
 // task is the state of one task.
@@ -341,7 +342,7 @@
 	j.started = j.started || r.Failures > 0 || r.Checkpoint != ""
 	t.attempt, t.failures, t.lastFailed, t.checkpoint = r.Attempt, r.Failures, r.LastFailed, r.Checkpoint
 	if spec.Gang {
-		st.failures = max(st.failures, r.Failures)
+		st.failures, st.lastFailed = max(st.failures, r.Failures), max(st.lastFailed, r.LastFailed)
 	}
 	if r.Target == "" {
 		return
--- a/internal/jobs/steps_test.go
+++ b/internal/jobs/steps_test.go
@@ -78,6 +78,29 @@
 	}
 }
 
+// Guards against a gang whose job is failed after one attempt, because each of its members failed in it, and against one that has
+// another attempt for each member.
+func TestGangAttemptFailsOnce(t *testing.T) {
+	h := newHarness(t, 8)
+	h.submit(work.Step{Count: 2, Need: work.Resources{CPU: 1000, Memory: 10}, Estimate: time.Second, Gang: true})
+	j := h.pool.jobs["0000000000000001"]
+	for attempt := 1; attempt <= testQueue.MaxAttempts; attempt++ {
+		if j.failed {
+			t.Fatalf("the job has failed before attempt %d, want %d attempts", attempt, testQueue.MaxAttempts)
+		}
+		starts := h.planAndCarryOut()
+		if len(starts) != 2 {
+			t.Fatalf("attempt %d: %d members start, want 2", attempt, len(starts))
+		}
+		for _, start := range starts { // the ends of all members are on their way
+			h.endRun(start.Target, start.Task, start.Attempt, work.EndFailed)
+		}
+	}
+	if !j.failed {
+		t.Errorf("the job has not failed after %d attempts", testQueue.MaxAttempts)
+	}
+}
+
 // Tasks of a queue with advice start only on targets for which there is a ticket, and with the ticket.
 func TestAdviceRestrictsTargets(t *testing.T) {
 	h := newHarness(t, 3)
