link: times keep their fraction of a second between processes

Cause: requests between processes were encoded with the default options of the CBOR library, which drop the fraction of a second of a time.Time.

Change: they are encoded as RFC 3339 with nanoseconds, which every version decodes. Other places with the default options encode no times.

Tests: TestTimesKeepTheirFraction failed before (08:00:00, want 08:00:00.9) and passes.

--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -71,6 +71,16 @@
 // Handler carries out requests; their bodies and its results are encoded as CBOR.
 type Handler func(ctx context.Context, m Method, body []byte) ([]byte, error)
 
+// encodeMode encodes requests and responses. The default mode drops the fraction of a second of times; every version decodes
+// times in this form.
+var encodeMode = func() cbor.EncMode {
+	m, err := cbor.EncOptions{Time: cbor.TimeRFC3339Nano}.EncMode()
+	if err != nil {
+		panic(err)
+	}
+	return m
+}()
+
 // TypedHandler returns a function that decodes a request, calls f and encodes the response of f.
 func TypedHandler[Req, Resp any](f func(context.Context, Req) (Resp, error)) func(context.Context, []byte) ([]byte, error) {
 	return func(ctx context.Context, body []byte) ([]byte, error) {
@@ -82,14 +92,14 @@
 		if err != nil {
 			return nil, err
 		}
-		return cbor.Marshal(resp)
+		return encodeMode.Marshal(resp)
 	}
 }
 
 // Call encodes and sends a request, and waits for its response, which it decodes.
 func Call[Resp, Req any](ctx context.Context, c *Client, addr string, m Method, req Req) (Resp, error) {
 	var resp Resp
-	body, err := cbor.Marshal(req)
+	body, err := encodeMode.Marshal(req)
 	if err != nil {
 		return resp, err
 	}
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -144,3 +144,32 @@
 		t.Errorf("given up after %v by the limit of the test, want after %v without progress", time.Since(begin), 2*pingPeriod)
 	}
 }
+
+// Guards against a scheduled job that starts up to a second early because the process that took it is not the one that runs it:
+// the fraction of a second of its time was dropped on the way.
+func TestTimesKeepTheirFraction(t *testing.T) {
+	type message struct{ At time.Time }
+	received := make(chan time.Time, 1)
+	addr := local.Addr()
+	l, err := Listen(t.Context(), addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	handle := TypedHandler(func(_ context.Context, m message) (message, error) {
+		received <- m.At
+		return m, nil
+	})
+	server := &Server{Listener: l, Handler: func(ctx context.Context, _ Method, body []byte) ([]byte, error) { return handle(ctx, body) }}
+	go func() { _ = server.Run(t.Context()) }() // ends with the test
+	for _, want := range []time.Time{time.UnixMilli(1_800_000_000_900), time.Unix(1_800_000_000, 123_456_789), {}} {
+		response, err := Call[message](t.Context(), &Client{}, addr, "echo", message{want})
+		if err != nil {
+			t.Fatal(err)
+		}
+		for name, got := range map[string]time.Time{"request": <-received, "response": response.At} {
+			if !got.Equal(want) {
+				t.Errorf("time in a %s: got %v, want %v", name, got, want)
+			}
+		}
+	}
+}
