crowd: thousands of cancels of jobs that nobody submits

Three processes of 96 MB get 9,000 cancels of unknown jobs. Each is answered with 410, or 503 once the partition has no space to keep more, and a submission of a confirmed one gets 410 from the process that takes over.

--- a/integ/crowd/accepted_test.go
+++ b/integ/crowd/accepted_test.go
@@ -130,6 +130,46 @@
 	checkLast(daemons)
 }
 
+// Guards against the loss of a process to cancels of jobs that nobody submits, and against one that is confirmed and not kept: by
+// the bound of what a partition keeps, or by the next owner.
+func TestJobdCancellations(t *testing.T) {
+	const count, refusedAtLeast = 9000, 1000 // the partition has space for some 6,000
+	fleet := newFleet(t)
+	daemons := startMembers(t, fleet)
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: senders, Proxy: nil}, Timeout: 5 * time.Second}
+	defer client.CloseIdleConnections()
+	statuses := make([]int, count)
+	var next atomic.Int64
+	var all sync.WaitGroup
+	for range senders {
+		all.Go(func() {
+			for i := int(next.Add(1)) - 1; i < count; i = int(next.Add(1)) - 1 {
+				statuses[i] = post(client, http.MethodDelete, daemons[i%len(daemons)].client, pool, firstID+i, "")
+			}
+		})
+	}
+	all.Wait()
+	counts := map[int]int{}
+	for _, status := range statuses {
+		counts[status]++
+	}
+	t.Logf("statuses of the cancels: %v", counts)
+	if got := counts[http.StatusServiceUnavailable]; got < refusedAtLeast || got+counts[http.StatusGone] < count*9/10 {
+		t.Errorf("statuses of the cancels: got %v, want 410, and 503 for %d or more", counts, refusedAtLeast)
+	}
+	checkLast(daemons)
+	last := daemons[len(daemons)-1]
+	for i := 0; i < count; i += 97 {
+		if statuses[i] != http.StatusGone {
+			continue
+		}
+		if got, want := post(client, http.MethodPost, last.client, pool, firstID+i, local.TwoSteps("5", 5, 2, 1)), http.StatusGone; got != want {
+			t.Errorf("submission of a job whose cancel was confirmed: got %d, want %d", got, want)
+		}
+	}
+	last.check(jobdMemory)
+}
+
 // Guards against the loss of a process whose pools are all full, each within the bound of its partition, and which takes over those of
 // other processes.
 func TestJobdManyPools(t *testing.T) {
