jobs: no second request for the same step in a round, and no finished jobs in memory

Found by reading the change: a step that is planned twice in one round, as with placement.look_ahead, could be asked for twice, and the list of steps that need advice kept pointers to jobs until it was overwritten. No failure was seen. The tests of advice, look-ahead, advise and shard pass.

--- a/internal/fakes/adviser.go
+++ b/internal/fakes/adviser.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"strconv"
 	"sync"
 	"time"
 
@@ -40,7 +39,7 @@
 	}
 	granted := map[work.TargetID]string{}
 	for _, id := range req.Targets {
-		granted[id] = "ticket " + strconv.Itoa(int(handled.UnixNano()))
+		granted[id] = "ticket"
 	}
 	return jobs.Advice{Granted: granted, Validity: a.Validity}, nil
 }
--- a/internal/jobs/advice.go
+++ b/internal/jobs/advice.go
@@ -97,10 +97,13 @@
 // ago. Steps whose tickets expire again and again, because no target has room, would otherwise keep out those behind them.
 func (p *Pool) requestAdvice(now time.Time, cs *candidateSet) {
 	ranked := p.adviceWanted
-	p.adviceWanted = p.adviceWanted[:0]
 	if len(ranked) == 0 {
 		return
 	}
+	defer func() {
+		clear(ranked) // jobs that end are not kept in memory
+		p.adviceWanted = ranked[:0]
+	}()
 	oldest := make([]*adviceWant, len(ranked))
 	for i := range ranked {
 		oldest[i] = &ranked[i]
@@ -124,15 +127,18 @@
 	}
 }
 
-// request requests advice for a step, unless the pool or the job has all that it may, or each target has been refused.
+// request requests advice for a step, unless that is done already, the pool or the job has all that it may, or each target has been
+// refused.
 func (p *Pool) request(now time.Time, want *adviceWant, cs *candidateSet) bool {
 	a, config := p.advice[want.key], p.queues[want.job.queue].Advice
 	isNew := a == nil
-	if isNew {
-		if len(p.advice) >= maxAdvice || want.job.advised >= maxJobAdvice {
-			return false
-		}
+	switch {
+	case isNew && (len(p.advice) >= maxAdvice || want.job.advised >= maxJobAdvice):
+		return false
+	case isNew:
 		a = &stepAdvice{refused: map[work.TargetID]bool{}}
+	case a.pending:
+		return false
 	}
 	ask := cs.targetsToAskAbout(a, namedTargets(config))
 	if len(ask) == 0 {
