--- a/internal/guard/client_test.go
+++ b/internal/guard/client_test.go
@@ -1,13 +1,13 @@
 package guard
 
 import (
-	"io"
-	"net"
 	"net/http"
 	"testing"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+
+	"github.com/toucanhatch/toucanhatch/internal/fakes"
 )
 
 // Guards against a server that takes a request as new, from a client that still waits, after it has stood still: the request has
@@ -15,22 +15,11 @@
 func TestClientOfWaitingRequest(t *testing.T) {
 	const stoodStill = 300 * time.Millisecond
 	for name, leaves := range map[string]bool{"the client waits": false, "the client has left": true} {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		client, err := net.Dial("tcp", l.Addr().String())
+		l, client, err := fakes.WaitingRequest(stoodStill, leaves)
 		if err != nil {
 			t.Fatal(err)
 		}
 		defer client.Close()
-		if _, err := io.WriteString(client, "POST / HTTP/1.1\r\nHost: a.example\r\nContent-Length: 2\r\n\r\n{}"); err != nil {
-			t.Fatal(err)
-		}
-		if leaves {
-			client.Close()
-		}
-		time.Sleep(stoodStill)
 		handled := make(chan struct{})
 		srv := New(testLimits(), hclog.NewNullLogger()).Server(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
 			defer close(handled)
--- a/internal/jobd/service_test.go
+++ b/internal/jobd/service_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"io"
-	"net"
 	"net/http"
 	"sync/atomic"
 	"testing"
@@ -13,6 +11,7 @@
 
 	"github.com/toucanhatch/toucanhatch/internal/clock"
 	"github.com/toucanhatch/toucanhatch/internal/config"
+	"github.com/toucanhatch/toucanhatch/internal/fakes"
 	"github.com/toucanhatch/toucanhatch/internal/group"
 	"github.com/toucanhatch/toucanhatch/internal/guard"
 	"github.com/toucanhatch/toucanhatch/internal/link"
@@ -86,22 +85,11 @@
 // serveLate calls handle with the context of a request that has waited in the socket of a server, and whose client may have left.
 func serveLate(t *testing.T, leaves bool, handle func(context.Context)) {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	client, err := net.Dial("tcp", l.Addr().String())
+	l, client, err := fakes.WaitingRequest(100*time.Millisecond, leaves)
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer client.Close()
-	if _, err := io.WriteString(client, "POST / HTTP/1.1\r\nHost: a.example\r\nContent-Length: 2\r\n\r\n{}"); err != nil {
-		t.Fatal(err)
-	}
-	if leaves {
-		client.Close()
-	}
-	time.Sleep(100 * time.Millisecond)
 	handled := make(chan struct{})
 	g := guard.New(guard.Derive(config.Limits{}, 0), hclog.NewNullLogger())
 	srv := g.Server(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
--- a/internal/netopt/peer_linux_test.go
+++ b/internal/netopt/peer_linux_test.go
@@ -11,26 +11,12 @@
 // Guards against a request that counts as new although it has waited in the socket, and against a client that counts as there
 // although it has closed its connection after the request.
 func TestPeerOf(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	client, err := net.Dial("tcp", l.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer client.Close()
+	const wait = 200 * time.Millisecond
+	client, server := connect(t)
 	if _, err := client.Write([]byte("request")); err != nil {
 		t.Fatal(err)
 	}
-	const wait = 200 * time.Millisecond
 	time.Sleep(wait)
-	server, err := l.Accept()
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer server.Close()
 	reading := make(chan struct{})
 	go func() { // must not block the other calls
 		defer close(reading)
--- a/internal/netopt/usertimeout_linux_test.go
+++ b/internal/netopt/usertimeout_linux_test.go
@@ -3,7 +3,6 @@
 package netopt
 
 import (
-	"net"
 	"syscall"
 	"testing"
 	"time"
@@ -14,21 +13,7 @@
 // Guards against a kernel that rejects the option on accepted connections: listeners
 // of package net use multipath TCP by default, which does not support it.
 func TestUserTimeoutOnAcceptedConnection(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	client, err := net.Dial("tcp", l.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer client.Close()
-	server, err := l.Accept()
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer server.Close()
+	_, server := connect(t)
 	raw, err := server.(syscall.Conn).SyscallConn()
 	if err != nil {
 		t.Fatal(err)
